--- a/internal/cli/pwroot/root.go
+++ b/internal/cli/pwroot/root.go
@@ -21,6 +21,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwdaemon"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwdatacentre"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwdemo"
+	"github.com/pomeloweir/pomeloweir/internal/cli/pwgatewaycommand"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwservice"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwsettings"
@@ -28,18 +29,19 @@
 )
 
 type commands struct {
-	Service       pwservice.Command       `cmd:"" aliases:"svc" help:"Service documents."`
-	DataCentre    pwdatacentre.Command    `cmd:"" aliases:"dc" help:"Data centres: take out of service, bring back, list."`
-	BackendServer pwbackendserver.Command `cmd:"" aliases:"server" help:"Backend servers: take out of service, bring back, list."`
-	Request       pwrequest.Command       `cmd:"" aliases:"req" help:"Requests of any workspace: view, cancel."`
-	Status        pwstatus.Options        `cmd:"" aliases:"st" help:"Show what is specified beside what is observed, and why they differ."`
-	Settings      pwsettings.Command      `cmd:"" help:"Settings of a process."`
-	Credential    pwcredential.Command    `cmd:"" help:"Hashed credentials for documents and settings."`
-	Entry         pwdaemon.EntryOptions   `cmd:"" help:"Run an entry: the process that callers and operators talk to."`
-	Agent         pwdaemon.AgentOptions   `cmd:"" help:"Run an agent: the process beside one backend server."`
-	Demo          demoCommand             `cmd:"" help:"Run a whole deployment in one process on loopback and measure it."`
-	Capacity      pwcapacity.Options      `cmd:"" help:"Measure the costs of the parts and project the large size."`
-	Version       versionCommand          `cmd:"" help:"Print the version."`
+	Service       pwservice.Command        `cmd:"" aliases:"svc" help:"Service documents."`
+	DataCentre    pwdatacentre.Command     `cmd:"" aliases:"dc" help:"Data centres: take out of service, bring back, list."`
+	BackendServer pwbackendserver.Command  `cmd:"" aliases:"server" help:"Backend servers: take out of service, bring back, list."`
+	Request       pwrequest.Command        `cmd:"" aliases:"req" help:"Requests of any workspace: view, cancel."`
+	Status        pwstatus.Options         `cmd:"" aliases:"st" help:"Show what is specified beside what is observed, and why they differ."`
+	Settings      pwsettings.Command       `cmd:"" help:"Settings of a process."`
+	Credential    pwcredential.Command     `cmd:"" help:"Hashed credentials for documents and settings."`
+	Entry         pwdaemon.EntryOptions    `cmd:"" help:"Run an entry: the process that callers and operators talk to."`
+	Agent         pwdaemon.AgentOptions    `cmd:"" help:"Run an agent: the process beside one backend server."`
+	Gateway       pwgatewaycommand.Options `cmd:"" help:"Run a gateway: serve callers on the users' platform."`
+	Demo          demoCommand              `cmd:"" help:"Run a whole deployment in one process on loopback and measure it."`
+	Capacity      pwcapacity.Options       `cmd:"" help:"Measure the costs of the parts and project the large size."`
+	Version       versionCommand           `cmd:"" help:"Print the version."`
 }
 
 type demoCommand struct {
--- /dev/null
+++ b/internal/core/pwfleet/fleet.go
@@ -0,0 +1,389 @@
+// Package pwfleet decides where requests go. It holds what one process knows
+// about the backend servers: the platform's entries, what the process itself
+// has sent, what its peers have sent, and how servers behaved. It does no I/O.
+//
+// Short prompts are packed onto few engines, in an order that all processes
+// share, so that the other engines are free to read long prompts in large
+// parts without stretching the pauses of short answers. The border between the
+// two moves with the demand, because it is only the place up to which short
+// prompts have filled the order.
+//
+// # Usage
+//
+//	f := pwfleet.New(pwfleet.Config{})
+//	f.Upsert(now, server)
+//	plan, err := f.Plan(now, pwfleet.Request{Service: "lantern", Tokens: 133_000})
+//	b := f.Start(now, plan)
+//	b.FirstToken()
+//	b.End()
+package pwfleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcost"
+)
+
+// Defaults of a Config.
+const (
+	// DefaultShortReadMS is the reading time up to which a prompt counts as short.
+	DefaultShortReadMS = 150.0
+	// DefaultShortPassMS bounds the pass of an engine that gets a short prompt;
+	// it leaves half of a pause of 250 ms for what arrives later.
+	DefaultShortPassMS = 150.0
+	// DefaultPartMS is the reading time of a part that long prompts are split into.
+	DefaultPartMS = 200.0
+	// DefaultLaneMS bounds the reading that waits on an engine without short answers.
+	DefaultLaneMS = 400.0
+	// DefaultMixedMS bounds the reading on an engine that writes short answers.
+	DefaultMixedMS = 120.0
+	// DefaultMaxParts is the largest number of engines that read one prompt:
+	// the platform takes 16 helpers beside the first.
+	DefaultMaxParts = 17
+	// DefaultShortFill is the share of an engine's slots that short answers fill.
+	DefaultShortFill = 0.75
+	// DefaultPeerExpiry is the age at which a peer's load no longer counts.
+	DefaultPeerExpiry = time.Second
+	// DefaultMinSuspect and DefaultMaxSuspect bound the time that a server gets
+	// no work after it failed.
+	DefaultMinSuspect = 400 * time.Millisecond
+	DefaultMaxSuspect = 4 * time.Second
+	// DefaultFullPause is the time that a server gets no work after it was full.
+	DefaultFullPause = 60 * time.Millisecond
+	// DefaultReturnWindow is how long an entry that lapsed while the store was
+	// away still names a server.
+	DefaultReturnWindow = 2 * time.Second
+)
+
+// Config configures a Fleet. Zero fields take their defaults.
+type Config struct {
+	ShortReadMS  float64
+	ShortPassMS  float64
+	PartMS       float64
+	LaneMS       float64
+	MixedMS      float64
+	MaxParts     int
+	ShortFill    float64
+	PeerExpiry   time.Duration
+	MinSuspect   time.Duration
+	MaxSuspect   time.Duration
+	FullPause    time.Duration
+	ReturnWindow time.Duration
+}
+
+func orDefault[T cmp.Ordered](v *T, def T) {
+	var zero T
+	if *v <= zero {
+		*v = def
+	}
+}
+
+func (cfg Config) withDefaults() Config {
+	orDefault(&cfg.ShortReadMS, DefaultShortReadMS)
+	orDefault(&cfg.ShortPassMS, DefaultShortPassMS)
+	orDefault(&cfg.PartMS, DefaultPartMS)
+	orDefault(&cfg.LaneMS, DefaultLaneMS)
+	orDefault(&cfg.MixedMS, DefaultMixedMS)
+	orDefault(&cfg.MaxParts, DefaultMaxParts)
+	orDefault(&cfg.ShortFill, DefaultShortFill)
+	orDefault(&cfg.PeerExpiry, DefaultPeerExpiry)
+	orDefault(&cfg.MinSuspect, DefaultMinSuspect)
+	orDefault(&cfg.MaxSuspect, DefaultMaxSuspect)
+	orDefault(&cfg.FullPause, DefaultFullPause)
+	orDefault(&cfg.ReturnWindow, DefaultReturnWindow)
+	return cfg
+}
+
+// Load is work that is in flight on one backend server.
+type Load struct {
+	// ReadMS is the reading that has not ended.
+	ReadMS float64
+	// LongMS is the part of ReadMS that belongs to long prompts.
+	LongMS float64
+	// Short and Requests count the short streams and all requests.
+	Short    int
+	Requests int
+	// Memory is the KV cache in use, in tokens.
+	Memory int64
+}
+
+func (l *Load) add(o Load, sign float64) {
+	l.ReadMS = max(0, l.ReadMS+sign*o.ReadMS)
+	l.LongMS = max(0, l.LongMS+sign*o.LongMS)
+	l.Short += int(sign) * o.Short
+	l.Requests += int(sign) * o.Requests
+	l.Memory += int64(sign) * o.Memory
+}
+
+func (l Load) zero() bool { return l == Load{} }
+
+// ServerLoad is the load that one process puts on one server. The server is
+// named by a hash of its identifier.
+type ServerLoad struct {
+	Server uint64
+	Load
+}
+
+// Hash names a backend server in messages between processes.
+func Hash(id string) uint64 { return xxhash.Sum64String(id) }
+
+type server struct {
+	info pwcatalog.BackendServer
+	hash uint64
+	own  Load
+	// others is the sum over all peers.
+	others    Load
+	coldUntil time.Time
+	cold      tokens
+	// badness grows with failures and shrinks with successes.
+	badness      float64
+	suspectUntil time.Time
+	fullUntil    time.Time
+	// lapsesAt is when a lapsed entry stops naming the server; zero if it is listed.
+	lapsesAt time.Time
+	gone     bool
+}
+
+// load returns the work of all processes on the server.
+func (s *server) load() Load {
+	l := s.own
+	l.add(s.others, 1)
+	return l
+}
+
+// tokens is a rate limit for cold servers.
+type tokens struct {
+	have float64
+	at   time.Time
+}
+
+func (t *tokens) refill(now time.Time, rate, burst float64) {
+	if t.at.IsZero() {
+		t.have = burst
+	} else {
+		t.have = min(burst, t.have+now.Sub(t.at).Seconds()*rate)
+	}
+	t.at = now
+}
+
+type peer struct {
+	loads []ServerLoad
+	heard time.Time
+}
+
+// Fleet holds the backend servers that one process knows. It isn't safe for
+// concurrent use.
+type Fleet struct {
+	cfg       Config
+	servers   map[string]*server
+	byHash    map[uint64]*server
+	ranked    map[string][]*server
+	peers     map[string]*peer
+	models    map[string]pwcost.Model
+	coldRate  map[string]float64
+	evacuated map[string]bool
+	version   uint64
+}
+
+// New returns an empty fleet.
+func New(cfg Config) *Fleet {
+	return &Fleet{
+		cfg:       cfg.withDefaults(),
+		servers:   make(map[string]*server),
+		byHash:    make(map[uint64]*server),
+		ranked:    make(map[string][]*server),
+		peers:     make(map[string]*peer),
+		models:    make(map[string]pwcost.Model),
+		coldRate:  make(map[string]float64),
+		evacuated: make(map[string]bool),
+	}
+}
+
+// Version changes with each change of the own load.
+func (f *Fleet) Version() uint64 { return f.version }
+
+// Len returns the number of listed servers.
+func (f *Fleet) Len() int { return len(f.servers) }
+
+// Configure takes over the engines and cold rates of a configuration.
+func (f *Fleet) Configure(services []pwcatalog.Service) {
+	clear(f.models)
+	clear(f.coldRate)
+	for i := range services {
+		s := &services[i]
+		if s.Engine != nil {
+			f.models[s.Name] = pwcost.New(*s.Engine)
+		}
+		f.coldRate[s.Name] = s.ColdPerSecond
+	}
+}
+
+// Upsert takes over an entry. A new incarnation starts without history.
+func (f *Fleet) Upsert(now time.Time, info pwcatalog.BackendServer) {
+	s := f.servers[info.ID]
+	if s != nil && s.info.Service != info.Service {
+		f.Remove(info.ID)
+		s = nil
+	}
+	if s == nil {
+		s = &server{
+			hash: Hash(info.ID),
+		}
+		f.servers[info.ID] = s
+		f.byHash[s.hash] = s
+		for _, p := range f.peers {
+			for _, l := range p.loads {
+				if l.Server == s.hash {
+					s.others.add(l.Load, 1)
+				}
+			}
+		}
+		ranked := append(f.ranked[info.Service], s)
+		slices.SortFunc(ranked, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
+		f.ranked[info.Service] = ranked
+	} else if s.info.Born != info.Born || s.info.Address != info.Address {
+		s.badness, s.suspectUntil, s.fullUntil, s.gone = 0, time.Time{}, time.Time{}, false
+		s.coldUntil, s.cold = time.Time{}, tokens{}
+	}
+	s.info = info
+	s.lapsesAt = time.Time{}
+	s.gone = false
+	if until := now.Add(info.ColdFor); info.ColdFor > 0 && until.After(s.coldUntil) {
+		s.coldUntil = until
+	}
+}
+
+// Lapse marks an entry that disappeared while the store was away: it names the
+// server for a short while, in which a living server is listed again.
+func (f *Fleet) Lapse(now time.Time, id string) {
+	if s := f.servers[id]; s != nil && s.lapsesAt.IsZero() {
+		s.lapsesAt = now.Add(f.cfg.ReturnWindow)
+	}
+}
+
+// Remove forgets a server.
+func (f *Fleet) Remove(id string) {
+	s := f.servers[id]
+	if s == nil {
+		return
+	}
+	delete(f.servers, id)
+	delete(f.byHash, s.hash)
+	ranked := f.ranked[s.info.Service]
+	f.ranked[s.info.Service] = slices.DeleteFunc(slices.Clone(ranked), func(o *server) bool { return o == s })
+}
+
+// Server returns the entry of a server.
+func (f *Fleet) Server(id string) (pwcatalog.BackendServer, bool) {
+	s := f.servers[id]
+	if s == nil {
+		return pwcatalog.BackendServer{}, false
+	}
+	return s.info, true
+}
+
+// SetEvacuated sets whether a data centre's servers get no new work.
+func (f *Fleet) SetEvacuated(dataCentre string, evacuated bool) {
+	if evacuated {
+		f.evacuated[dataCentre] = true
+	} else {
+		delete(f.evacuated, dataCentre)
+	}
+}
+
+// MergePeer replaces what a peer has in flight.
+func (f *Fleet) MergePeer(now time.Time, name string, loads []ServerLoad) {
+	f.dropPeer(name)
+	f.peers[name] = &peer{
+		loads: loads,
+		heard: now,
+	}
+	for _, l := range loads {
+		if s := f.byHash[l.Server]; s != nil {
+			s.others.add(l.Load, 1)
+		}
+	}
+}
+
+// ExpirePeers forgets the load of peers that were not heard for a while.
+func (f *Fleet) ExpirePeers(now time.Time) (expired []string) {
+	for name, p := range f.peers {
+		if now.Sub(p.heard) > f.cfg.PeerExpiry {
+			f.dropPeer(name)
+			expired = append(expired, name)
+		}
+	}
+	return expired
+}
+
+func (f *Fleet) dropPeer(name string) {
+	p := f.peers[name]
+	if p == nil {
+		return
+	}
+	for _, l := range p.loads {
+		if s := f.byHash[l.Server]; s != nil {
+			s.others.add(l.Load, -1)
+		}
+	}
+	delete(f.peers, name)
+}
+
+// Processes returns the number of processes that send work, this one included.
+func (f *Fleet) Processes() int { return len(f.peers) + 1 }
+
+// OwnLoads returns what this process has in flight.
+func (f *Fleet) OwnLoads() []ServerLoad {
+	var out []ServerLoad
+	for _, s := range f.servers {
+		if !s.own.zero() {
+			out = append(out, ServerLoad{
+				Server: s.hash,
+				Load:   s.own,
+			})
+		}
+	}
+	return out
+}
+
+// Failed notes that a server failed a request or did not answer.
+func (f *Fleet) Failed(now time.Time, id string) time.Duration {
+	s := f.servers[id]
+	if s == nil {
+		return 0
+	}
+	s.badness++
+	pause := min(f.cfg.MaxSuspect, time.Duration(float64(f.cfg.MinSuspect)*s.badness*s.badness))
+	s.suspectUntil = now.Add(pause)
+	return pause
+}
+
+// Succeeded notes a good answer.
+func (f *Fleet) Succeeded(id string) {
+	if s := f.servers[id]; s != nil {
+		s.badness *= 0.7
+		if s.badness < 0.1 {
+			s.badness = 0
+		}
+	}
+}
+
+// Full notes that a server rejected a request for want of room.
+func (f *Fleet) Full(now time.Time, id string) {
+	if s := f.servers[id]; s != nil {
+		s.fullUntil = now.Add(f.cfg.FullPause)
+	}
+}
+
+// Gone notes that another server answers at the address. It gets no work until
+// its entry changes.
+func (f *Fleet) Gone(id string) {
+	if s := f.servers[id]; s != nil {
+		s.gone = true
+	}
+}
--- /dev/null
+++ b/internal/node/pwdeployment/deployment.go
@@ -0,0 +1,64 @@
+// Package pwdeployment holds what a process learns at its start about the
+// place it runs in: its addresses, its limits and the bounds of the deployment.
+//
+// # Usage
+//
+//	d, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+//	log.Println(d.Instance, d.DataCentre)
+package pwdeployment
+
+import "time"
+
+// Bounds are the time limits and rates that the deployment promises.
+type Bounds struct {
+	// Drain is the time after which a leaving backend server gets no new work.
+	Drain time.Duration
+	// Grace is the time between the request to stop and the kill.
+	Grace time.Duration
+	// Apply is the time within which a configuration is in force.
+	Apply time.Duration
+	// StableWindow is the time that a failed dependency needs to count as sound again.
+	StableWindow time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound the repeats of a service by
+	// all processes together.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// ColdOverage and ColdSlack stretch the rate of a cold backend server.
+	ColdOverage float64
+	ColdSlack   float64
+	// HoldMax is the longest time that engine memory may be reserved.
+	HoldMax time.Duration
+	// Stall is how long work waits on a dead engine before it is cut off.
+	Stall time.Duration
+	// ReuseAfter is the time after which an address may belong to another server.
+	ReuseAfter time.Duration
+}
+
+// Store is the platform's store and its rates for all processes together.
+type Store struct {
+	Address         string
+	WritesPerSecond float64
+	ReadsPerSecond  float64
+}
+
+// Deployment is the place of one process.
+type Deployment struct {
+	Instance   string
+	Role       string
+	DataCentre string
+	// IP is the address of the machine.
+	IP string
+	// Callers and Readiness are the listening addresses, IP:PORT.
+	Callers   string
+	Readiness string
+	// InternalPortFirst and InternalPortLast bound the ports between processes.
+	InternalPortFirst int
+	InternalPortLast  int
+	MemoryBytes       int64
+	Descriptors       int
+	// Heartbeat is the interval at which backend servers report.
+	Heartbeat time.Duration
+	Bounds    Bounds
+	Store     Store
+}
--- /dev/null
+++ b/internal/node/pwgateway/dispatch.go
@@ -0,0 +1,388 @@
+package pwgateway
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwretry"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
+)
+
+// scheduleInterval is how often waiting requests are looked at when nothing
+// else has happened; engines finish reading without a message.
+const scheduleInterval = 10 * time.Millisecond
+
+// budgetShare is the part of the shared retry budget that processes use, so
+// that they stay within it while they disagree on their number.
+const budgetShare = 0.7
+
+// want is a request that needs a server.
+type want struct {
+	id       string
+	req      pwfleet.Request
+	readMS   float64
+	short    bool
+	priority [2]int
+	arrived  time.Time
+	// aim is when the first token is due, latest when the caller leaves.
+	aim    time.Time
+	latest time.Time
+	// urgentAt is when the request goes although engines are busy.
+	urgentAt time.Time
+	// givesUp is when it stops waiting for a server that may get it.
+	givesUp time.Time
+	granted chan grant
+	waiting bool
+}
+
+type grant struct {
+	plan    pwfleet.Plan
+	booking *pwfleet.Booking
+	err     error
+}
+
+// dispatcher guards the fleet and holds the requests that wait for engines.
+type dispatcher struct {
+	deployment pwdeployment.Deployment
+	policy     Policy
+	obs        *pwobserve.Observer
+	notify     func()
+	wake       chan struct{}
+
+	mu      sync.Mutex
+	fleet   *pwfleet.Fleet
+	waiting []*want
+	budgets map[string]*pwretry.Budget
+	counted int
+}
+
+func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
+	return &dispatcher{
+		deployment: d,
+		policy:     p,
+		obs:        obs,
+		notify:     func() {},
+		wake:       make(chan struct{}, 1),
+		fleet:      f,
+		budgets:    make(map[string]*pwretry.Budget),
+		counted:    1,
+	}
+}
+
+func (d *dispatcher) configure(c *pwcatalog.Catalog) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.Configure(c.Services())
+}
+
+func (d *dispatcher) setBounds(b pwdeployment.Bounds) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if b != d.deployment.Bounds {
+		d.deployment.Bounds = b
+		clear(d.budgets)
+	}
+}
+
+func (d *dispatcher) evacuate(dataCentre string, out bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.SetEvacuated(dataCentre, out)
+}
+
+func (d *dispatcher) server(it pwcontrol.Item[pwcatalog.BackendServer], lapsed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case it.Removed && lapsed:
+		d.fleet.Lapse(time.Now(), it.Key)
+	case it.Removed || it.Err != nil:
+		d.fleet.Remove(it.Key)
+	default:
+		d.fleet.Upsert(time.Now(), it.Value)
+	}
+}
+
+// OwnLoads returns what this process has in flight.
+func (d *dispatcher) ownLoads() []pwfleet.ServerLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.OwnLoads()
+}
+
+func (d *dispatcher) mergePeer(name string, loads []pwfleet.ServerLoad) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.MergePeer(time.Now(), name, loads)
+	d.schedule(time.Now())
+}
+
+func (d *dispatcher) maintain(now time.Time) {
+	d.mu.Lock()
+	expired := d.fleet.ExpirePeers(now)
+	d.mu.Unlock()
+	for _, name := range expired {
+		d.obs.Event("peer_silent", log.Fields{
+			"peer": name,
+		})
+	}
+}
+
+// budget returns the retry budget of a service, for the present number of processes.
+func (d *dispatcher) budget(service string) *pwretry.Budget {
+	if n := d.fleet.Processes(); n > d.counted {
+		d.counted = n
+		clear(d.budgets)
+	}
+	b := d.budgets[service]
+	if b == nil {
+		bounds := d.deployment.Bounds
+		b = pwretry.NewBudget(pwretry.BudgetConfig{
+			Ratio:  bounds.RetryRatio * budgetShare,
+			Floor:  bounds.RetrySlack * budgetShare / float64(d.counted) / bounds.RetryWindow.Seconds(),
+			Window: bounds.RetryWindow,
+		})
+		d.budgets[service] = b
+	}
+	return b
+}
+
+// admit counts a request for the retry budget of its service.
+func (d *dispatcher) admit(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(service).Request(time.Now())
+}
+
+// takeRepeat takes one repeat from the budget.
+func (d *dispatcher) takeRepeat(service string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(service).Take(time.Now())
+}
+
+// acquire decides where a request goes and counts its load. Long prompts wait
+// until engines have room.
+func (d *dispatcher) acquire(ctx context.Context, w *want) (pwfleet.Plan, *pwfleet.Booking, error) {
+	d.mu.Lock()
+	now := time.Now()
+	w.short = d.fleet.IsShort(w.req)
+	w.readMS = d.fleet.ReadMS(w.req)
+	if w.short || len(d.waiting) == 0 {
+		if g := d.try(now, w); g.err == nil || !d.waits(now, w, g.err) {
+			d.mu.Unlock()
+			d.changed(g)
+			return g.plan, g.booking, g.err
+		}
+	}
+	if err := d.enqueue(now, w); err != nil {
+		d.mu.Unlock()
+		return pwfleet.Plan{}, nil, err
+	}
+	d.schedule(now)
+	d.mu.Unlock()
+	d.signal()
+	select {
+	case g := <-w.granted:
+		d.changed(g)
+		return g.plan, g.booking, g.err
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.drop(w)
+	select {
+	case g := <-w.granted:
+		if g.booking != nil {
+			g.booking.End()
+		}
+	default:
+	}
+	return pwfleet.Plan{}, nil, pwverdict.Wrap(context.Cause(ctx), pwverdict.NotRun, pwverdict.CauseDeadlineExceeded, "waiting for an engine")
+}
+
+// enqueue adds a request to those that wait, unless it would wait in vain.
+func (d *dispatcher) enqueue(now time.Time, w *want) error {
+	if len(d.waiting) >= d.policy.MaxWaiting {
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseQueueFull, "%d requests wait", len(d.waiting)).
+			WithRetryAfter(time.Second)
+	}
+	if wait := d.estimate(now, w); now.Add(wait).After(w.latest) {
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseDeadlineUnreachable,
+			"about %s of reading come first", wait.Round(time.Millisecond)).
+			WithRetryAfter(min(wait, w.latest.Sub(now)) / 2)
+	}
+	w.granted = make(chan grant, 1)
+	w.waiting = true
+	d.waiting = append(d.waiting, w)
+	return nil
+}
+
+// estimate returns about how long the work before a request takes. What waits
+// at the peers is taken to be as much as here.
+func (d *dispatcher) estimate(now time.Time, w *want) time.Duration {
+	perEngine, engines := d.fleet.Backlog(now, w.req.Service)
+	queued := w.readMS
+	for _, o := range d.waiting {
+		if o.req.Service == w.req.Service && before(o, w, now) < 0 {
+			queued += o.readMS * float64(d.fleet.Processes())
+		}
+	}
+	return time.Duration((perEngine + queued/float64(max(1, engines))) * float64(time.Millisecond))
+}
+
+// try plans a request and counts its load.
+func (d *dispatcher) try(now time.Time, w *want) grant {
+	req := w.req
+	req.Urgent = now.After(w.urgentAt)
+	plan, err := d.fleet.Plan(now, req)
+	if err != nil {
+		return grant{
+			err: err,
+		}
+	}
+	return grant{
+		plan:    plan,
+		booking: d.fleet.Start(now, plan),
+	}
+}
+
+// waits reports whether a request that was not placed may wait.
+func (d *dispatcher) waits(now time.Time, w *want, err error) bool {
+	switch pwverdict.CauseOf(err) {
+	case pwverdict.CausePrefillBusy, pwverdict.CauseMemoryFull, pwverdict.CauseConcurrencyFull:
+		return now.Before(w.latest)
+	case pwverdict.CauseNoCandidate:
+		return now.Before(w.givesUp)
+	default:
+		return false
+	}
+}
+
+// before orders waiting requests: by priority, then those that can still be
+// in time by when they are due, then the others by when their callers leave.
+func before(a, b *want, now time.Time) int {
+	return cmp.Or(
+		cmp.Compare(a.priority[0], b.priority[0]),
+		cmp.Compare(a.priority[1], b.priority[1]),
+		cmp.Compare(a.late(now), b.late(now)),
+		a.due(now).Compare(b.due(now)),
+	)
+}
+
+func (w *want) late(now time.Time) int {
+	if now.After(w.aim) {
+		return 1
+	}
+	return 0
+}
+
+func (w *want) due(now time.Time) time.Time {
+	if w.late(now) == 1 {
+		return w.latest
+	}
+	return w.aim
+}
+
+// schedule places the waiting requests for which there is room.
+func (d *dispatcher) schedule(now time.Time) {
+	if len(d.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(d.waiting, func(a, b *want) int { return before(a, b, now) })
+	kept := d.waiting[:0]
+	for _, w := range d.waiting {
+		g := d.try(now, w)
+		if g.err != nil && d.waits(now, w, g.err) {
+			kept = append(kept, w)
+			continue
+		}
+		w.waiting = false
+		if g.err != nil {
+			var e *pwverdict.Error
+			if errors.As(g.err, &e) && e.RetryAfter() == 0 {
+				g.err = e.WithRetryAfter(jitter(w.latest.Sub(w.arrived) / 8))
+			}
+		}
+		w.granted <- g
+	}
+	clear(d.waiting[len(kept):])
+	d.waiting = kept
+}
+
+// drop removes a request whose caller has left.
+func (d *dispatcher) drop(w *want) {
+	d.waiting = slices.DeleteFunc(d.waiting, func(o *want) bool { return o == w })
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Float64()*float64(d))
+}
+
+func (d *dispatcher) changed(g grant) {
+	if g.booking != nil {
+		d.notify()
+	}
+}
+
+// with runs f with the fleet, lets waiting requests use what became free, and
+// tells the peers.
+func (d *dispatcher) with(f func(now time.Time, fleet *pwfleet.Fleet)) {
+	d.mu.Lock()
+	now := time.Now()
+	before := d.fleet.Version()
+	f(now, d.fleet)
+	changed := d.fleet.Version() != before
+	if changed {
+		d.schedule(now)
+	}
+	d.mu.Unlock()
+	if changed {
+		d.notify()
+	}
+}
+
+func (d *dispatcher) signal() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// loop places waiting requests as time passes.
+func (d *dispatcher) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.wake:
+		}
+		for d.tick() {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(scheduleInterval):
+			}
+		}
+	}
+}
+
+// tick schedules and reports whether requests still wait.
+func (d *dispatcher) tick() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.schedule(time.Now())
+	return len(d.waiting) > 0
+}
--- /dev/null
+++ b/internal/node/pwgateway/gateway.go
@@ -0,0 +1,247 @@
+// Package pwgateway serves callers on the users' platform: it finds the route
+// and the workspace of a request, decides where it goes, sends it, and gives
+// the answer back as it arrives. A stream that breaks goes on at another
+// backend server after the last event that was delivered.
+//
+// # Usage
+//
+//	g := pwgateway.New(pwgateway.Config{Codec: codec, Engines: engines}, obs)
+//	g.SetCatalog(catalog)
+//	g.Servers(items, false)
+//	http.Serve(listener, g)
+package pwgateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
+)
+
+// Call is what a caller says about its request.
+type Call struct {
+	// ID names the caller's attempt.
+	ID string
+	// Deadline is how long the caller will wait; 0 if it doesn't say.
+	Deadline time.Duration
+	// Key is the caller's credential, or "".
+	Key string
+	// Tokens and Output are the length of the prompt and the bound of the answer.
+	Tokens int64
+	Output int64
+	// LastEvent is the event after which a stream goes on, or "".
+	LastEvent string
+}
+
+// Helper is an engine that reads a part of a prompt.
+type Helper struct {
+	Address string
+	// Reservation names engine memory that is set aside, or "".
+	Reservation string
+}
+
+// Forward is what the gateway tells a backend server beside the caller's request.
+type Forward struct {
+	Instance  string
+	Workspace string
+	// Keyed is set when the key must not reach the server.
+	Keyed     bool
+	Left      time.Duration
+	LastEvent string
+	// Urgency is 0 for the most urgent requests, up to 9.
+	Urgency int
+	Helpers []Helper
+}
+
+// Answer is what the head of an answer says.
+type Answer struct {
+	// ID is the attempt that is answered, or "".
+	ID string
+	// Sealed is set when the answer carries the server's signature.
+	Sealed bool
+	// NotRun is set when the server states that it has not run the request.
+	NotRun bool
+	// Misdirected is set when another server has the address.
+	Misdirected bool
+	// AtFault is the address of the server that caused a rejection, or "".
+	AtFault string
+}
+
+// Codec translates headers from and to the platform's names.
+type Codec interface {
+	Call(h http.Header) (Call, error)
+	// Forward changes a copy of the caller's headers into those for a server.
+	Forward(h http.Header, f Forward)
+	Answer(resp *http.Response) Answer
+	// RetryAfter tells a caller when to come back.
+	RetryAfter(h http.Header, d time.Duration)
+}
+
+// Engines gives orders to engines.
+type Engines interface {
+	// Reserve sets memory aside. It reports false when the memory is not free.
+	Reserve(ctx context.Context, s pwcatalog.BackendServer, id string, tokens int64, hold time.Duration) (bool, error)
+	Release(ctx context.Context, s pwcatalog.BackendServer, id string) error
+}
+
+// Config configures a Gateway.
+type Config struct {
+	Deployment pwdeployment.Deployment
+	Codec      Codec
+	Engines    Engines
+	Fleet      pwfleet.Config
+	Policy     Policy
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	cfg      Config
+	codec    Codec
+	engines  Engines
+	pool     *pwupstream.Pool
+	obs      *pwobserve.Observer
+	dispatch *dispatcher
+	crashes  *crashes
+
+	catalog  atomic.Pointer[pwcatalog.Catalog]
+	stopping atomic.Bool
+	contact  func() time.Time
+}
+
+// New returns a gateway without a configuration; it answers 503 until it has one.
+func New(cfg Config, obs *pwobserve.Observer) *Gateway {
+	cfg.Policy = cfg.Policy.withDefaults()
+	g := &Gateway{
+		cfg:     cfg,
+		codec:   cfg.Codec,
+		engines: cfg.Engines,
+		pool:    pwupstream.New(pwupstream.Config{}),
+		obs:     obs,
+		contact: time.Now,
+	}
+	g.crashes = newCrashes()
+	g.dispatch = newDispatcher(pwfleet.New(cfg.Fleet), cfg.Deployment, cfg.Policy, obs)
+	return g
+}
+
+// SetContact sets the function that tells when the store last answered.
+func (g *Gateway) SetContact(contact func() time.Time) { g.contact = contact }
+
+// SetNotify sets the function that is called when the load changes.
+func (g *Gateway) SetNotify(notify func()) { g.dispatch.notify = notify }
+
+// Stop makes the gateway ask its callers to leave.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Configured reports whether a configuration is in force.
+func (g *Gateway) Configured() bool { return g.catalog.Load() != nil }
+
+// Limits returns the bounds on callers of the configuration in force.
+func (g *Gateway) Limits() pwcatalog.Limits {
+	if c := g.catalog.Load(); c != nil {
+		return c.Limits()
+	}
+	return pwcatalog.Limits{}
+}
+
+// SetBounds takes over changed bounds of the deployment.
+func (g *Gateway) SetBounds(b pwdeployment.Bounds) { g.dispatch.setBounds(b) }
+
+// SetCatalog puts a configuration in force unless a newer one is.
+func (g *Gateway) SetCatalog(c *pwcatalog.Catalog) {
+	for {
+		old := g.catalog.Load()
+		if old != nil && old.Version() >= c.Version() {
+			g.obs.Event("config_ignored", log.Fields{
+				"version":  c.Version(),
+				"in_force": old.Version(),
+			})
+			return
+		}
+		if g.catalog.CompareAndSwap(old, c) {
+			break
+		}
+	}
+	g.dispatch.configure(c)
+	g.obs.Event("config_in_force", log.Fields{
+		"version": c.Version(),
+		"routes":  c.Routes(),
+	})
+}
+
+// Operator takes over rows that operators wrote.
+func (g *Gateway) Operator(items []pwcontrol.Item[pwcontrol.OperatorRow], dataCentreOf func(key string) (string, bool)) {
+	for _, it := range items {
+		if it.Err != nil {
+			continue
+		}
+		if dc, ok := dataCentreOf(it.Key); ok {
+			g.dispatch.evacuate(dc, !it.Removed)
+			g.obs.Event("data_centre_marked", log.Fields{
+				"target_data_centre": dc,
+				"out_of_service":     !it.Removed,
+			})
+			continue
+		}
+		if it.Value.Catalog != nil {
+			g.SetCatalog(it.Value.Catalog)
+		}
+	}
+}
+
+// Servers takes over entries of backend servers.
+func (g *Gateway) Servers(items []pwcontrol.Item[pwcatalog.BackendServer], lapsed bool) {
+	for _, it := range items {
+		g.dispatch.server(it, lapsed)
+		f := log.Fields{
+			"backend_server": it.Key,
+			"row_version":    it.Version,
+		}
+		switch {
+		case it.Removed && lapsed:
+			g.obs.Event("server_lapsed", f)
+		case it.Removed || it.Err != nil:
+			g.obs.Event("server_gone", f)
+		default:
+			f["service"] = it.Value.Service
+			f["draining"] = it.Value.Draining
+			f["cold_ms"] = it.Value.ColdFor.Milliseconds()
+			g.obs.Event("server_listed", f)
+		}
+	}
+}
+
+// loopMaintenance closes old connections and expires what is not renewed.
+func (g *Gateway) loopMaintenance(ctx context.Context) {
+	t := time.NewTicker(maintenanceInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		g.pool.CloseExpired()
+		g.dispatch.maintain(time.Now())
+	}
+}
+
+// Run does the gateway's background work until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.loopMaintenance(ctx)
+	}()
+	g.dispatch.loop(ctx)
+	<-done
+}
--- /dev/null
+++ b/internal/node/pwgateway/policy.go
@@ -0,0 +1,68 @@
+package pwgateway
+
+import (
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+)
+
+// maintenanceInterval is how often old connections and peers are looked for.
+const maintenanceInterval = 500 * time.Millisecond
+
+// Policy holds the times and limits of requests. Zero fields take their defaults.
+type Policy struct {
+	// AbandonFloor, AbandonTargets and AbandonGaps say when callers leave a
+	// stream without an event: after the longest of the floor, so many times
+	// the target, and so many times the longest pause.
+	AbandonFloor   time.Duration
+	AbandonTargets float64
+	AbandonGaps    float64
+	// StallShare is the part of that time after which a silent server is given
+	// up while another may still serve the request.
+	StallShare float64
+	// SafeTimeoutTargets is the time in targets after which a safe call is sent
+	// to a second server.
+	SafeTimeoutTargets float64
+	// MaxRejections bounds the sends of one request that servers rejected or
+	// that found no connection.
+	MaxRejections int
+	// MaxWaiting bounds the requests that wait for an engine.
+	MaxWaiting int
+	// NoServerShare is the part of the target that a request waits while no
+	// server may get it.
+	NoServerShare float64
+	// UrgentShare is the part of the abandon time after which a waiting request
+	// is sent although engines are busy.
+	UrgentShare float64
+}
+
+func (p Policy) withDefaults() Policy {
+	def := func(v *float64, d float64) {
+		if *v <= 0 {
+			*v = d
+		}
+	}
+	if p.AbandonFloor <= 0 {
+		p.AbandonFloor = 2 * time.Second // the platform's page on requests
+	}
+	def(&p.AbandonTargets, 4) // the same page
+	def(&p.AbandonGaps, 8)    // the same page
+	def(&p.StallShare, 0.45)
+	def(&p.SafeTimeoutTargets, 1.6)
+	def(&p.NoServerShare, 0.125) // held longer, a refusal costs the caller its return
+	def(&p.UrgentShare, 0.7)
+	if p.MaxRejections <= 0 {
+		p.MaxRejections = 6
+	}
+	if p.MaxWaiting <= 0 {
+		p.MaxWaiting = 2000
+	}
+	return p
+}
+
+// abandon returns how long a caller waits for the next event of a stream.
+func (p Policy) abandon(r *pwcatalog.Route) time.Duration {
+	return max(p.AbandonFloor,
+		time.Duration(p.AbandonTargets*float64(r.Target)),
+		time.Duration(p.AbandonGaps*float64(r.TargetGap)))
+}
--- /dev/null
+++ b/internal/node/pwgateway/send.go
@@ -0,0 +1,394 @@
+package pwgateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
+)
+
+const (
+	// maxStrayAnswers bounds the answers to other requests that are skipped on
+	// one connection.
+	maxStrayAnswers = 2
+	// maxAnswerBytes bounds an answer that is held until it is complete.
+	maxAnswerBytes = 8 << 20
+	// reserveTimeout bounds an order to an engine.
+	reserveTimeout = 700 * time.Millisecond
+	// releaseTimeout bounds the return of memory; later the lease ends it.
+	releaseTimeout = 3 * time.Second
+	// releaseInterval is the pause between tries to return memory.
+	releaseInterval = 200 * time.Millisecond
+)
+
+// send is one request on its way to one server.
+type send struct {
+	x       *exchange
+	plan    pwfleet.Plan
+	booking *pwfleet.Booking
+	helpers []Helper
+	conn    *pwupstream.Conn
+}
+
+// do sends the request and delivers the answer.
+func (s *send) do(ctx context.Context) (again bool, err error) {
+	x := s.x
+	conn, err := x.g.pool.Get(ctx, s.plan.Server.Address)
+	if err != nil {
+		s.failed()
+		x.rejections++
+		return x.rejections < x.g.cfg.Policy.MaxRejections, err
+	}
+	s.conn = conn
+	defer func() {
+		if s.conn != nil {
+			s.conn.Close()
+		}
+	}()
+	h := forwardHeader(x.r.Header)
+	x.g.codec.Forward(h, Forward{
+		Instance:  s.plan.Server.ID,
+		Workspace: x.workspace,
+		Keyed:     x.keyed,
+		Left:      time.Until(x.deadline),
+		LastEvent: x.lastEvent,
+		Urgency:   urgency(x, s.plan),
+		Helpers:   s.helpers,
+	})
+	s.logSent()
+	x.sends++
+	if err := conn.SetReadDeadline(s.firstDeadline()); err != nil {
+		return false, pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseUnavailable, "preparing to send")
+	}
+	resp, err := conn.Do(ctx, &pwupstream.Request{
+		Method: x.r.Method,
+		Target: x.r.RequestURI,
+		Host:   x.r.Host,
+		Header: h,
+		Body:   x.body,
+	})
+	if err != nil {
+		return s.broken(err)
+	}
+	resp, answer, err := s.match(resp)
+	if err != nil {
+		return s.broken(err)
+	}
+	if answer.NotRun || answer.Misdirected {
+		return s.rejected(resp, answer)
+	}
+	x.runs++
+	if resp.StatusCode/100 == 2 && !answer.Sealed {
+		return s.lost(pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "an answer without the server's signature"))
+	}
+	if x.route.Kind == pwcatalog.Streaming && resp.StatusCode/100 == 2 {
+		return s.stream(resp)
+	}
+	return s.whole(resp)
+}
+
+// urgency ranks requests at an engine: by priority, and short prompts first.
+func urgency(x *exchange, plan pwfleet.Plan) int {
+	u := 1 + 2*min(3, max(0, x.priority[0]))
+	if !plan.Short {
+		u++
+	}
+	return min(9, u)
+}
+
+// firstDeadline is how long the server may stay silent at first.
+func (s *send) firstDeadline() time.Time {
+	x := s.x
+	if !s.mayRepeat() {
+		return x.deadline
+	}
+	wait := time.Duration(x.g.cfg.Policy.SafeTimeoutTargets * float64(x.route.Target))
+	if x.route.Kind == pwcatalog.Streaming {
+		wait = s.stall()
+	}
+	return earlier(time.Now().Add(wait), x.deadline)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// stall is how long a stream may be silent before another server takes over.
+func (s *send) stall() time.Duration {
+	p := s.x.g.cfg.Policy
+	read := time.Duration(2 * s.plan.ReadMS * float64(time.Millisecond))
+	return max(time.Duration(p.StallShare*float64(p.abandon(s.x.route))), min(read, s.x.route.Target))
+}
+
+// mayRepeat reports whether another server may run the request after this one did.
+func (s *send) mayRepeat() bool {
+	return s.x.route.Repeatable() && s.x.runs+1 < s.x.route.Attempts
+}
+
+// match skips answers that belong to other requests.
+func (s *send) match(resp *http.Response) (*http.Response, Answer, error) {
+	for stray := 0; ; stray++ {
+		answer := s.x.g.codec.Answer(resp)
+		if answer.ID == s.x.call.ID || answer.ID == "" && resp.StatusCode/100 != 2 {
+			return resp, answer, nil
+		}
+		if answer.ID == "" || stray == maxStrayAnswers || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			return nil, Answer{}, pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "the answer belongs to request %q", answer.ID)
+		}
+		s.x.g.obs.Count("stray_answers", 1)
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
+			return nil, Answer{}, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "skipping an answer to another request")
+		}
+		next, err := s.conn.Next(s.x.r.Method)
+		if err != nil {
+			return nil, Answer{}, err
+		}
+		// A connection that has carried a stray answer is not used again.
+		next.Close = true
+		resp = next
+	}
+}
+
+// rejected handles an answer that says that the request has not run.
+func (s *send) rejected(resp *http.Response, a Answer) (bool, error) {
+	x := s.x
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err == nil {
+		s.release(resp)
+	}
+	fault := s.plan.Server.ID
+	for _, h := range s.plan.Helpers {
+		if a.AtFault != "" && h.Address == a.AtFault {
+			fault = h.ID
+		}
+	}
+	x.g.dispatch.with(func(now time.Time, f *pwfleet.Fleet) {
+		switch {
+		case a.Misdirected:
+			f.Gone(fault)
+		case fault != s.plan.Server.ID:
+			f.Failed(now, fault)
+		default:
+			f.Full(now, fault)
+		}
+	})
+	x.rejections++
+	err := pwverdict.New(pwverdict.NotRun, pwverdict.CauseMemoryFull, "%s rejected the request with %d", fault, resp.StatusCode)
+	return x.rejections < x.g.cfg.Policy.MaxRejections, err
+}
+
+// broken handles a request without an answer.
+func (s *send) broken(err error) (bool, error) {
+	s.x.runs++
+	return s.lost(err)
+}
+
+// lost handles a server that may have run the request and gave no whole answer.
+func (s *send) lost(err error) (bool, error) {
+	x := s.x
+	if x.r.Context().Err() != nil || time.Until(x.deadline) <= 0 {
+		return false, err
+	}
+	s.failed()
+	if !isTimeout(err) {
+		go x.g.probeCrash(x, s.plan.Server.Address)
+	}
+	return x.route.Repeatable() && x.runs < x.route.Attempts, err
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+func (s *send) failed() {
+	var pause time.Duration
+	s.x.g.dispatch.with(func(now time.Time, f *pwfleet.Fleet) {
+		pause = f.Failed(now, s.plan.Server.ID)
+	})
+	s.x.g.obs.Event("server_suspect", s.x.fields(
+		"backend_server", s.plan.Server.ID,
+		"pause_ms", pause.Milliseconds(),
+	))
+}
+
+func (s *send) release(resp *http.Response) {
+	s.conn.Release(resp)
+	s.conn = nil
+}
+
+// whole delivers an answer that is held until it is complete.
+func (s *send) whole(resp *http.Response) (bool, error) {
+	x := s.x
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.New("the answer is too large")
+	}
+	if err != nil {
+		return s.lost(pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "the answer broke off"))
+	}
+	s.release(resp)
+	if resp.StatusCode >= http.StatusInternalServerError && s.x.runs < x.route.Attempts && x.route.Repeatable() &&
+		time.Until(x.deadline) > x.route.Target/2 {
+		if x.route.Kind == pwcatalog.Streaming {
+			s.failed()
+		}
+		return true, pwverdict.New(pwverdict.Ran, pwverdict.CauseEngineFailed, "%s answered %d", s.plan.Server.ID, resp.StatusCode)
+	}
+	s.succeeded(resp)
+	copyHeader(x.w.Header(), resp.Header)
+	x.w.WriteHeader(resp.StatusCode)
+	if _, err := x.w.Write(body); err != nil {
+		x.log("caller_left", err)
+		return false, nil
+	}
+	x.logStatus("answered", resp.StatusCode, nil)
+	return false, nil
+}
+
+func (s *send) succeeded(resp *http.Response) {
+	if resp.StatusCode < http.StatusInternalServerError {
+		s.x.g.dispatch.with(func(_ time.Time, f *pwfleet.Fleet) { f.Succeeded(s.plan.Server.ID) })
+	}
+}
+
+// reserve sets the memory of a large prompt aside, all or nothing.
+func (x *exchange) reserve(ctx context.Context, plan pwfleet.Plan) ([]Helper, func(), error) {
+	helpers := make([]Helper, 0, len(plan.Helpers)+1)
+	if len(plan.Reservations) == 0 {
+		for _, h := range plan.Helpers {
+			helpers = append(helpers, Helper{
+				Address: h.Address,
+			})
+		}
+		return helpers, func() {}, nil
+	}
+	id := x.reservation()
+	hold := min(x.g.cfg.Deployment.Bounds.HoldMax, time.Until(x.deadline)+releaseTimeout)
+	type result struct {
+		r   pwfleet.Reservation
+		ok  bool
+		err error
+	}
+	results := make(chan result, len(plan.Reservations))
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	for _, r := range plan.Reservations {
+		go func() {
+			ok, err := x.g.engines.Reserve(ctx, r.Server, id, r.Tokens, hold)
+			results <- result{
+				r:   r,
+				ok:  ok,
+				err: err,
+			}
+		}()
+	}
+	var failed error
+	for range plan.Reservations {
+		switch res := <-results; {
+		case res.err != nil:
+			failed = res.err
+		case !res.ok:
+			failed = pwverdict.New(pwverdict.NotRun, pwverdict.CauseMemoryFull, "%s has no %d tokens free", res.r.Server.ID, res.r.Tokens)
+			x.g.dispatch.with(func(now time.Time, f *pwfleet.Fleet) { f.Full(now, res.r.Server.ID) })
+		}
+	}
+	release := func() { x.release(plan, id) }
+	if failed != nil {
+		// An order that got no answer may still be carried out.
+		release()
+		x.g.obs.Event("reservation_failed", x.fields("cause", pwverdict.CauseOf(failed), "error", failed.Error()))
+		return nil, nil, failed
+	}
+	for _, r := range plan.Reservations {
+		helpers = append(helpers, Helper{
+			Address:     r.Server.Address,
+			Reservation: id,
+		})
+	}
+	return helpers, release, nil
+}
+
+// reservation names the memory of this try; another try has another name.
+func (x *exchange) reservation() string {
+	return x.call.ID + "." + string(rune('a'+min(25, x.sends+x.rejections)))
+}
+
+// release gives reserved memory back, also after the caller has left.
+func (x *exchange) release(plan pwfleet.Plan, id string) {
+	for _, r := range plan.Reservations {
+		go x.releaseOne(r, id)
+	}
+}
+
+func (x *exchange) releaseOne(r pwfleet.Reservation, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	for {
+		err := x.g.engines.Release(ctx, r.Server, id)
+		if err == nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			x.g.obs.Event("release_failed", x.fields("backend_server", r.Server.ID, "error", err.Error()))
+			return
+		case <-time.After(releaseInterval):
+		}
+	}
+}
+
+func (s *send) logSent() {
+	x := s.x
+	x.g.obs.Event("sent", x.fields(
+		"backend_server", s.plan.Server.ID,
+		"reason", s.plan.Reason,
+		"helpers", len(s.helpers),
+		"reserved", len(s.plan.Reservations),
+		"part_ms", int(s.plan.ReadMS),
+		"tokens", x.call.Tokens,
+		"reused", s.conn.Reused(),
+		"sends", x.sends,
+		"after_event", x.lastEvent,
+	))
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// forwardHeader copies the headers that concern more than one connection.
+func forwardHeader(in http.Header) http.Header {
+	h := in.Clone()
+	for _, list := range in["Connection"] {
+		for name := range bytes.SplitSeq([]byte(list), []byte(",")) {
+			h.Del(string(bytes.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+	return h
+}
+
+// copyHeader copies the headers of an answer.
+func copyHeader(out, in http.Header) {
+	for name, values := range forwardHeader(in) {
+		out[name] = values
+	}
+	if in.Get("Content-Type") == "" {
+		// Keeps the library from guessing one.
+		out["Content-Type"] = nil
+	}
+}
--- a/internal/node/pwobserve/observe.go
+++ b/internal/node/pwobserve/observe.go
@@ -172,3 +172,9 @@
 		return nil
 	}
 }
+
+// Event writes a log line with typed fields, such as numbers, and counts it.
+func (o *Observer) Event(msg string, f log.Fields) {
+	o.logger.WithFields(f).Info(msg)
+	o.Count("events_"+msg, 1)
+}
