Place long prompts by the pauses that streams on an engine stand

Change: engines are ranked by the streams that they write; parts fit the room that the tightest of them leaves; answers are written where others are; a prompt that fits nowhere waits for engines without tight streams, and peers hold back meanwhile; memory of large prompts is reserved on as few engines as hold it.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -38,10 +38,30 @@
 	DefaultShortPassMS = 150.0
 	// DefaultPartMS is the reading time of a part that long prompts are split into.
 	DefaultPartMS = 200.0
-	// DefaultLaneMS bounds the reading that waits on an engine without short answers.
-	DefaultLaneMS = 400.0
-	// DefaultMixedMS bounds the reading on an engine that writes short answers.
-	DefaultMixedMS = 120.0
+	// DefaultLaneMS bounds the reading on an engine that writes nothing, so that
+	// what comes next still has time for its first token.
+	DefaultLaneMS = 500.0
+	// DefaultTightGap, DefaultMediumGap and DefaultLooseGap are the longest pauses
+	// of three kinds of streams: the platform's short, middle and long requests.
+	DefaultTightGap  = 250 * time.Millisecond
+	DefaultMediumGap = 600 * time.Millisecond
+	DefaultLooseGap  = time.Second
+	// DefaultGapShare is the part of a pause that is planned; the rest covers
+	// what other processes send at the same moment.
+	DefaultGapShare = 0.85
+	// DefaultSuspectMS is the room that a failure takes from an engine.
+	DefaultSuspectMS = 300.0
+	// DefaultIdleReadMS is the reading up to which an engine counts as idle.
+	DefaultIdleReadMS = 120.0
+	// DefaultHeavyShare is the part of the engines without tight streams that
+	// must be idle before a prompt that fits nowhere takes them.
+	DefaultHeavyShare = 0.7
+	// DefaultHeavyFleet is the part of all engines that must be without tight
+	// streams for that.
+	DefaultHeavyFleet = 0.25
+	// DefaultUrgentParts is the number of engines that an urgent prompt takes
+	// when all have tight streams.
+	DefaultUrgentParts = 5
 	// DefaultMaxParts is the largest number of engines that read one prompt:
 	// the platform takes 16 helpers beside the first.
 	DefaultMaxParts = 17
@@ -66,7 +86,15 @@
 	ShortPassMS  float64
 	PartMS       float64
 	LaneMS       float64
-	MixedMS      float64
+	TightGap     time.Duration
+	MediumGap    time.Duration
+	LooseGap     time.Duration
+	GapShare     float64
+	SuspectMS    float64
+	IdleReadMS   float64
+	HeavyShare   float64
+	HeavyFleet   float64
+	UrgentParts  int
 	MaxParts     int
 	ShortFill    float64
 	PeerExpiry   time.Duration
@@ -88,7 +116,15 @@
 	orDefault(&cfg.ShortPassMS, DefaultShortPassMS)
 	orDefault(&cfg.PartMS, DefaultPartMS)
 	orDefault(&cfg.LaneMS, DefaultLaneMS)
-	orDefault(&cfg.MixedMS, DefaultMixedMS)
+	orDefault(&cfg.TightGap, DefaultTightGap)
+	orDefault(&cfg.MediumGap, DefaultMediumGap)
+	orDefault(&cfg.LooseGap, DefaultLooseGap)
+	orDefault(&cfg.GapShare, DefaultGapShare)
+	orDefault(&cfg.SuspectMS, DefaultSuspectMS)
+	orDefault(&cfg.IdleReadMS, DefaultIdleReadMS)
+	orDefault(&cfg.HeavyShare, DefaultHeavyShare)
+	orDefault(&cfg.HeavyFleet, DefaultHeavyFleet)
+	orDefault(&cfg.UrgentParts, DefaultUrgentParts)
 	orDefault(&cfg.MaxParts, DefaultMaxParts)
 	orDefault(&cfg.ShortFill, DefaultShortFill)
 	orDefault(&cfg.PeerExpiry, DefaultPeerExpiry)
@@ -103,10 +139,10 @@
 type Load struct {
 	// ReadMS is the reading that has not ended.
 	ReadMS float64
-	// LongMS is the part of ReadMS that belongs to long prompts.
-	LongMS float64
-	// Short and Requests count the short streams and all requests.
-	Short    int
+	// Tight and Medium count the streams that stand no long and no very long
+	// pauses; Requests counts all requests.
+	Tight    int
+	Medium   int
 	Requests int
 	// Memory is the KV cache in use, in tokens.
 	Memory int64
@@ -114,8 +150,8 @@
 
 func (l *Load) add(o Load, sign float64) {
 	l.ReadMS = max(0, l.ReadMS+sign*o.ReadMS)
-	l.LongMS = max(0, l.LongMS+sign*o.LongMS)
-	l.Short += int(sign) * o.Short
+	l.Tight += int(sign) * o.Tight
+	l.Medium += int(sign) * o.Medium
 	l.Requests += int(sign) * o.Requests
 	l.Memory += int64(sign) * o.Memory
 }
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -22,6 +22,8 @@
 	DataCentre string
 	// Exclude holds servers that this request has been sent to already.
 	Exclude map[string]bool
+	// Gap is the longest pause between events of a timely answer.
+	Gap time.Duration
 	// Urgent lifts the bounds that keep engines smooth, for a request that
 	// would otherwise be late anyway.
 	Urgent bool
@@ -39,7 +41,8 @@
 	// Helpers read parts of the prompt.
 	Helpers []pwcatalog.BackendServer
 	// Reservations hold the memory of a prompt that is too large for one
-	// engine; the first server's comes first.
+	// engine: the first server's comes first, then one for each helper, with no
+	// tokens where the helper only reads.
 	Reservations []Reservation
 	// ReadMS is the reading time of one part.
 	ReadMS float64
@@ -47,6 +50,7 @@
 	Short bool
 	// Reason says in a word what decided.
 	Reason string
+	gap    time.Duration
 	memory int64
 }
 
@@ -226,84 +230,60 @@
 		ReadMS: read,
 		Short:  true,
 		Reason: reason,
+		gap:    r.Gap,
 		memory: r.Tokens + r.Output/2,
 	}
 }
 
+// candidate is an engine with its load at the time of a decision.
+type candidate struct {
+	s *server
+	l Load
+	// tier is 0 for engines that write nothing, and grows with how little of a
+	// pause the streams there stand.
+	tier int
+	// room is the reading that the engine takes before a stream there pauses
+	// for too long.
+	room float64
+}
+
 // planLong spreads the reading of a long prompt over engines that have room.
+// Engines that write nothing read most of it, and the answer is written where
+// other answers are, so that few engines must keep their pauses short.
 func (f *Fleet) planLong(r Request, m pwcost.Model, cands []*server) (Plan, error) {
 	total := m.Read(r.Tokens)
-	slots := max(1, m.Engine().Slots)
-	want := min(f.cfg.MaxParts, len(cands), int(math.Ceil(total/f.cfg.PartMS)))
-	part := total / float64(want)
-	type candidate struct {
-		s *server
-		l Load
-	}
-	var lane, mixed, rest []candidate
-	for _, s := range cands {
-		c := candidate{
-			s: s,
-			l: s.load(),
-		}
-		switch {
-		case c.l.Requests >= slots:
-			continue
-		case c.l.Short == 0 && (c.l.ReadMS+part <= f.cfg.LaneMS || c.l.ReadMS == 0):
-			lane = append(lane, c)
-		case c.l.Short > 0 && c.l.LongMS == 0 && c.l.ReadMS+part <= f.cfg.MixedMS:
-			mixed = append(mixed, c)
-		default:
-			rest = append(rest, c)
-		}
-	}
-	byReading := func(a, b candidate) int {
-		return cmp.Or(
-			cmp.Compare(a.s.badness, b.s.badness),
-			cmp.Compare(a.l.ReadMS, b.l.ReadMS),
-			cmp.Compare(a.l.Requests, b.l.Requests),
-			-cmp.Compare(a.s.hash, b.s.hash),
-		)
-	}
-	slices.SortFunc(lane, byReading)
-	slices.SortFunc(mixed, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.l.Short, b.l.Short), byReading(a, b))
-	})
-	chosen := lane
-	reason := "lane"
-	if len(chosen) < want {
-		chosen = append(chosen, mixed...)
-		reason = "lane_and_mixed"
-	}
-	if len(chosen) < want && r.Urgent {
-		slices.SortFunc(rest, func(a, b candidate) int {
-			return cmp.Or(cmp.Compare(a.l.Short, b.l.Short), byReading(a, b))
-		})
-		chosen = append(chosen, rest...)
-		reason = "urgent"
-	}
-	if len(chosen) < want && !r.Urgent && (len(chosen) == 0 || total/float64(len(chosen)) > f.cfg.LaneMS) {
-		return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CausePrefillBusy,
-			"%d engines have room, %d are wanted", len(chosen), want)
+	need := r.Tokens + r.Output
+	all := f.withRoom(m, cands)
+	if len(all) == 0 {
+		return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CauseConcurrencyFull, "all slots of %q are taken", r.Service)
 	}
+	chosen, reason := f.spread(r, total, all)
 	if len(chosen) == 0 {
-		return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CauseConcurrencyFull, "all slots of %q are taken", r.Service)
+		return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CausePrefillBusy,
+			"%.0f ms of reading don't fit into the room of %d engines", total, len(all))
 	}
-	all := chosen
-	chosen = chosen[:min(want, len(chosen))]
-	need := r.Tokens + r.Output
 	free := func(c candidate) int64 { return m.Engine().MemoryTokens - c.l.Memory }
-	// The first engine keeps the whole prompt in its memory.
-	first := slices.MaxFunc(chosen, func(a, b candidate) int { return cmp.Compare(free(a), free(b)) })
-	if free(first) < need {
-		if alt := slices.MaxFunc(all, func(a, b candidate) int { return cmp.Compare(free(a), free(b)) }); free(alt) >= need {
-			first = alt
+	part := total / float64(len(chosen))
+	first, found := candidate{}, false
+	// The first engine keeps the whole prompt in its memory and writes the answer.
+	for _, c := range all {
+		if free(c) < need || c.room < part || c.l.Requests >= m.Engine().Slots {
+			continue
+		}
+		if !found || c.tier > first.tier || c.tier == first.tier && c.s.hash < first.s.hash {
+			first, found = c, true
 		}
 	}
+	if !found {
+		first = slices.MaxFunc(chosen, func(a, b candidate) int {
+			return cmp.Or(cmp.Compare(min(free(a), need), min(free(b), need)), -cmp.Compare(a.l.Requests, b.l.Requests))
+		})
+	}
 	p := Plan{
 		Server: first.s.info,
 		ReadMS: total / float64(len(chosen)),
 		Reason: reason,
+		gap:    r.Gap,
 		memory: need,
 	}
 	for _, c := range chosen {
@@ -314,30 +294,165 @@
 	if free(first) >= need {
 		return p, nil
 	}
-	share := roundUp(need*21/20/int64(len(chosen)), int64(ticketBlock))
-	for _, c := range chosen {
-		if free(c) < share {
-			return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CauseMemoryFull,
-				"%d tokens are wanted on %d engines, %d are free on one", need, len(chosen), free(c))
+	// Helpers with a reservation and the first engine's own one share the list
+	// of helpers.
+	if len(chosen) == f.cfg.MaxParts {
+		chosen = slices.DeleteFunc(slices.Clone(chosen), func(c candidate) bool { return c.s == chosen[len(chosen)-1].s && c.s != first.s })
+		p.ReadMS = total / float64(len(chosen))
+	}
+	return f.reserveMemory(p, first.s, slices.Collect(func(yield func(*server) bool) {
+		for _, c := range chosen {
+			if c.s != first.s && !yield(c.s) {
+				return
+			}
+		}
+	}), m.Engine().MemoryTokens, need)
+}
+
+// withRoom returns the engines with a free slot: those that write nothing
+// first, and among equals those with the least reading.
+func (f *Fleet) withRoom(m pwcost.Model, cands []*server) []candidate {
+	var all []candidate
+	for _, s := range cands {
+		l := s.load()
+		if l.Requests >= m.Engine().Slots {
+			continue
 		}
+		tier, allowance := f.allowance(m, l)
+		all = append(all, candidate{
+			s:    s,
+			l:    l,
+			tier: tier,
+			room: allowance - l.ReadMS - f.cfg.SuspectMS*s.badness,
+		})
 	}
-	p.memory = share
-	p.Reservations = append(p.Reservations, Reservation{
-		Server: first.s.info,
-		Tokens: share,
+	slices.SortFunc(all, func(a, b candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.tier, b.tier),
+			cmp.Compare(a.l.ReadMS, b.l.ReadMS),
+			cmp.Compare(a.l.Requests, b.l.Requests),
+			-cmp.Compare(a.s.hash, b.s.hash),
+		)
 	})
-	for _, h := range p.Helpers {
+	return all
+}
+
+// allowance is the reading that fits into a pass of an engine without a pause
+// that is too long for the streams there.
+func (f *Fleet) allowance(m pwcost.Model, l Load) (tier int, ms float64) {
+	pass := m.Pass(l.Requests, l.Memory, 0)
+	within := func(gap time.Duration) float64 {
+		return min(f.cfg.LaneMS, float64(gap.Milliseconds())*f.cfg.GapShare-pass)
+	}
+	switch {
+	case l.Tight > 0:
+		return 3, within(f.cfg.TightGap)
+	case l.Medium > 0:
+		return 2, within(f.cfg.MediumGap)
+	case l.Requests > 0:
+		return 1, within(f.cfg.LooseGap)
+	default:
+		return 0, f.cfg.LaneMS
+	}
+}
+
+// spread returns the engines over which a prompt is read: as many as make parts
+// of the usual size, more or fewer if those have room, and none if it must wait.
+func (f *Fleet) spread(r Request, total float64, all []candidate) (chosen []candidate, reason string) {
+	most := min(f.cfg.MaxParts, len(all))
+	usual := min(most, int(math.Ceil(total/f.cfg.PartMS)))
+	for k := usual; k <= most; k++ {
+		if chosen = roomy(all, total/float64(k), k); chosen != nil {
+			return chosen, "spread"
+		}
+	}
+	for k := usual - 1; k > 0; k-- {
+		if chosen = roomy(all, total/float64(k), k); chosen != nil {
+			return chosen, "fewer_engines"
+		}
+	}
+	// A prompt that fits nowhere takes the engines without tight streams, once
+	// most of them have little left to read.
+	var lane, idle []candidate
+	for _, c := range all {
+		if c.tier < 3 {
+			lane = append(lane, c)
+			if c.l.ReadMS <= f.cfg.IdleReadMS {
+				idle = append(idle, c)
+			}
+		}
+	}
+	if total/float64(most) > f.cfg.LaneMS/2 && len(idle) > 0 && float64(len(idle)) >= f.cfg.HeavyShare*float64(len(lane)) &&
+		float64(len(lane)) >= f.cfg.HeavyFleet*float64(len(all)) {
+		return idle[:min(len(idle), f.cfg.MaxParts)], "heavy"
+	}
+	if !r.Urgent {
+		return nil, ""
+	}
+	return all[:max(1, min(usual, most, max(len(lane), f.cfg.UrgentParts)))], "urgent"
+}
+
+// roomy returns the first k engines with room for a part, or nil.
+func roomy(all []candidate, part float64, k int) []candidate {
+	var out []candidate
+	for _, c := range all {
+		if c.room < part {
+			continue
+		}
+		if out = append(out, c); len(out) == k {
+			return out
+		}
+	}
+	return nil
+}
+
+// Heavy reports whether a prompt needs most engines at once.
+func (f *Fleet) Heavy(r Request) bool {
+	return f.ReadMS(r) > f.cfg.PartMS*float64(f.cfg.MaxParts)
+}
+
+// reserveMemory spreads a prompt that is too large for one engine over the
+// memory of the first engine and of as few helpers as can hold it.
+func (f *Fleet) reserveMemory(p Plan, first *server, helpers []*server, size, need int64) (Plan, error) {
+	free := func(s *server) int64 {
+		return roundDown((size-s.load().Memory)*reservedPercent/100, ticketBlock)
+	}
+	slices.SortStableFunc(helpers, func(a, b *server) int { return cmp.Compare(free(b), free(a)) })
+	p.Helpers = p.Helpers[:0]
+	left := roundUp(need*ticketSlackPercent/100, ticketBlock)
+	for _, s := range append([]*server{first}, helpers...) {
+		take := min(left, max(0, free(s)))
+		if s != first {
+			p.Helpers = append(p.Helpers, s.info)
+		} else {
+			p.memory = take
+		}
 		p.Reservations = append(p.Reservations, Reservation{
-			Server: h,
-			Tokens: share,
+			Server: s.info,
+			Tokens: take,
 		})
+		left -= take
+	}
+	if left > 0 {
+		return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CauseMemoryFull,
+			"%d tokens are wanted, %d are missing on %d engines", need, left, len(helpers)+1)
 	}
 	return p, nil
 }
 
+const (
+	// reservedPercent is the part of an engine's free memory that one prompt
+	// takes, so that short answers still start there.
+	reservedPercent = 85
+	// ticketSlackPercent covers the rounding of each part to blocks.
+	ticketSlackPercent = 102
+)
+
 // ticketBlock is the size to which engine memory is rounded, in tokens.
 const ticketBlock = 64
 
+func roundDown(n, block int64) int64 { return n / block * block }
+
 func roundUp(n, block int64) int64 { return (n + block - 1) / block * block }
 
 // Booking is the load of one request until it ends.
@@ -363,16 +478,17 @@
 		Requests: 1,
 		Memory:   p.memory,
 	}
-	if p.Short {
-		l.Short = 1
-	} else {
-		l.LongMS = p.ReadMS
+	switch {
+	case p.gap <= 0:
+	case p.gap <= f.cfg.TightGap:
+		l.Tight = 1
+	case p.gap <= f.cfg.MediumGap:
+		l.Medium = 1
 	}
 	b.add(p.Server.ID, l)
 	for i, h := range p.Helpers {
 		hl := Load{
 			ReadMS: p.ReadMS,
-			LongMS: p.ReadMS,
 		}
 		if i+1 < len(p.Reservations) {
 			hl.Memory = p.Reservations[i+1].Tokens
@@ -408,9 +524,8 @@
 		p := &b.parts[i]
 		p.s.own.add(Load{
 			ReadMS: p.l.ReadMS,
-			LongMS: p.l.LongMS,
 		}, -1)
-		p.l.ReadMS, p.l.LongMS = 0, 0
+		p.l.ReadMS = 0
 	}
 	b.f.version++
 }
--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -128,12 +128,15 @@
 // OwnCrashes implements pwpeering.View.
 func (g *Gateway) OwnCrashes() []pwpeering.Crash { return g.crashes.tell() }
 
+// OwnHold implements pwpeering.View.
+func (g *Gateway) OwnHold() time.Duration { return g.dispatch.ownHold() }
+
 // MergePeer implements pwpeering.View.
-func (g *Gateway) MergePeer(peer string, loads []pwfleet.ServerLoad, crashed []pwpeering.Crash) {
-	for _, c := range crashed {
+func (g *Gateway) MergePeer(peer string, m pwpeering.Message) {
+	for _, c := range m.Crashes {
 		g.crashes.add(c.Fingerprint, c.Attempt, max(time.Millisecond, time.Duration(c.AgeMS)*time.Millisecond))
 	}
-	g.dispatch.mergePeer(peer, loads)
+	g.dispatch.mergePeer(peer, m)
 }
 
 // probeCrash finds out whether a server died under a request: one that no
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -18,12 +18,24 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 )
 
 // scheduleInterval is how often waiting requests are looked at when nothing
 // else has happened; engines finish reading without a message.
 const scheduleInterval = 10 * time.Millisecond
 
+const (
+	// holdExpiry is the age at which a peer's hold no longer counts.
+	holdExpiry = 500 * time.Millisecond
+	// maxHold bounds the time that one heavy prompt keeps others waiting.
+	maxHold = 1200 * time.Millisecond
+)
+
+// leastEngines is the number of engines that a long prompt is taken to get when
+// its place in the queue is found.
+const leastEngines = 10
+
 // budgetShare is the part of the shared retry budget that processes use, so
 // that they stay within it while they disagree on their number.
 const budgetShare = 0.7
@@ -34,11 +46,14 @@
 	req      pwfleet.Request
 	readMS   float64
 	short    bool
+	heavy    bool
 	priority [2]int
 	arrived  time.Time
 	// aim is when the first token is due, latest when the caller leaves.
 	aim    time.Time
 	latest time.Time
+	// start is when the reading must begin for that.
+	start time.Time
 	// urgentAt is when the request goes although engines are busy.
 	urgentAt time.Time
 	// givesUp is when it stops waiting for a server that may get it.
@@ -66,6 +81,10 @@
 	waiting []*want
 	budgets map[string]*pwretry.Budget
 	counted int
+	holds   map[string]hold
+	// heavySince is when a prompt that needs most engines became first; zero if
+	// none is.
+	heavySince time.Time
 }
 
 func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
@@ -78,6 +97,7 @@
 		fleet:      f,
 		budgets:    make(map[string]*pwretry.Budget),
 		counted:    1,
+		holds:      make(map[string]hold),
 	}
 }
 
@@ -122,11 +142,55 @@
 	return d.fleet.OwnLoads()
 }
 
-func (d *dispatcher) mergePeer(name string, loads []pwfleet.ServerLoad) {
+func (d *dispatcher) mergePeer(name string, m pwpeering.Message) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.fleet.MergePeer(time.Now(), name, loads)
-	d.schedule(time.Now())
+	now := time.Now()
+	d.fleet.MergePeer(now, name, m.Loads)
+	if m.Hold > 0 {
+		d.holds[name] = hold{
+			since: now.Add(-m.Hold),
+			heard: now,
+		}
+	} else {
+		delete(d.holds, name)
+	}
+	d.schedule(now)
+}
+
+// hold is a peer's wish that no long prompt starts while one that needs most
+// engines waits there.
+type hold struct {
+	since time.Time
+	heard time.Time
+}
+
+// ownHold returns how long a heavy prompt has been first in the queue.
+func (d *dispatcher) ownHold() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.heavySince.IsZero() {
+		return 0
+	}
+	return max(time.Millisecond, time.Since(d.heavySince))
+}
+
+// heldBy returns the peer whose heavy prompt comes first, or "". The one that
+// has waited longest goes first; holds end by themselves.
+func (d *dispatcher) heldBy(now time.Time) string {
+	best := ""
+	for name, h := range d.holds {
+		if now.Sub(h.heard) > holdExpiry || now.Sub(h.since) > maxHold {
+			continue
+		}
+		if !d.heavySince.IsZero() && !h.since.Before(d.heavySince) {
+			continue
+		}
+		if best == "" || h.since.Before(d.holds[best].since) {
+			best = name
+		}
+	}
+	return best
 }
 
 func (d *dispatcher) maintain(now time.Time) {
@@ -180,7 +244,9 @@
 	now := time.Now()
 	w.short = d.fleet.IsShort(w.req)
 	w.readMS = d.fleet.ReadMS(w.req)
-	if w.short || len(d.waiting) == 0 {
+	w.heavy = d.fleet.Heavy(w.req)
+	w.start = w.aim.Add(-time.Duration(w.readMS / leastEngines * float64(time.Millisecond)))
+	if w.short || len(d.waiting) == 0 && d.heldBy(now) == "" {
 		if g := d.try(now, w); g.err == nil || !d.waits(now, w, g.err) {
 			d.mu.Unlock()
 			d.changed(g)
@@ -283,7 +349,7 @@
 }
 
 func (w *want) late(now time.Time) int {
-	if now.After(w.aim) {
+	if now.After(w.start) {
 		return 1
 	}
 	return 0
@@ -293,7 +359,7 @@
 	if w.late(now) == 1 {
 		return w.latest
 	}
-	return w.aim
+	return w.start
 }
 
 // schedule places the waiting requests for which there is room.
@@ -302,26 +368,47 @@
 		return
 	}
 	slices.SortStableFunc(d.waiting, func(a, b *want) int { return before(a, b, now) })
+	heldBy := d.heldBy(now)
+	heavy, held := false, false
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
-		g := d.try(now, w)
-		if g.err != nil && d.waits(now, w, g.err) {
+		if !w.short && (held || heldBy != "") && now.Before(w.urgentAt) {
 			kept = append(kept, w)
 			continue
 		}
-		w.waiting = false
-		if g.err != nil {
-			var e *pwverdict.Error
-			if errors.As(g.err, &e) && e.RetryAfter() == 0 {
-				g.err = e.WithRetryAfter(jitter(w.latest.Sub(w.arrived) / 8))
+		g := d.try(now, w)
+		if g.err != nil && d.waits(now, w, g.err) {
+			kept = append(kept, w)
+			if w.heavy && w.late(now) == 0 && !heavy {
+				heavy = true
+				if d.heavySince.IsZero() {
+					d.heavySince = now
+				}
+				held = now.Sub(d.heavySince) < maxHold
 			}
+			continue
 		}
-		w.granted <- g
+		w.grant(g)
+	}
+	if !heavy {
+		d.heavySince = time.Time{}
 	}
 	clear(d.waiting[len(kept):])
 	d.waiting = kept
 }
 
+// grant gives a waiting request its place or its refusal.
+func (w *want) grant(g grant) {
+	w.waiting = false
+	if g.err != nil {
+		var e *pwverdict.Error
+		if errors.As(g.err, &e) && e.RetryAfter() == 0 {
+			g.err = e.WithRetryAfter(jitter(w.latest.Sub(w.arrived) / 8))
+		}
+	}
+	w.granted <- g
+}
+
 // drop removes a request whose caller has left.
 func (d *dispatcher) drop(w *want) {
 	d.waiting = slices.DeleteFunc(d.waiting, func(o *want) bool { return o == w })
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -61,8 +61,11 @@
 	lastEvent string
 	events    int
 	firstAt   time.Time
-	waited    time.Duration
-	lastErr   error
+	// eventAt is when the last event arrived, maxGap the longest pause so far.
+	eventAt time.Time
+	maxGap  time.Duration
+	waited  time.Duration
+	lastErr error
 }
 
 // ServeHTTP serves one request of a caller.
@@ -221,6 +224,7 @@
 			Output:     x.call.Output,
 			DataCentre: x.g.cfg.Deployment.DataCentre,
 			Exclude:    x.tried,
+			Gap:        x.route.TargetGap,
 		},
 		priority: x.priority,
 		arrived:  x.arrived,
@@ -360,6 +364,10 @@
 	if status != 0 {
 		f["status"] = status
 	}
+	if !x.firstAt.IsZero() {
+		f["first_ms"] = x.firstAt.Sub(x.arrived).Milliseconds()
+		f["max_gap_ms"] = x.maxGap.Milliseconds()
+	}
 	if err != nil {
 		f["cause"] = pwverdict.CauseOf(err)
 		f["verdict"] = pwverdict.Of(err).String()
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -47,7 +47,7 @@
 	}
 	def(&p.AbandonTargets, 4) // the same page
 	def(&p.AbandonGaps, 8)    // the same page
-	def(&p.StallShare, 0.45)
+	def(&p.StallShare, 0.7)
 	def(&p.SafeTimeoutTargets, 1.6)
 	def(&p.NoServerShare, 0.125) // held longer, a refusal costs the caller its return
 	def(&p.UrgentShare, 0.7)
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -199,6 +199,7 @@
 		return false, err
 	}
 	s.failed()
+	x.tried[s.plan.Server.ID] = true
 	if !isTimeout(err) {
 		go x.g.probeCrash(x, s.plan.Server.Address)
 	}
@@ -242,6 +243,7 @@
 		if x.route.Kind == pwcatalog.Streaming {
 			s.failed()
 		}
+		x.tried[s.plan.Server.ID] = true
 		return true, pwverdict.New(pwverdict.Ran, pwverdict.CauseEngineFailed, "%s answered %d", s.plan.Server.ID, resp.StatusCode)
 	}
 	s.succeeded(resp)
@@ -282,7 +284,12 @@
 	results := make(chan result, len(plan.Reservations))
 	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
 	defer cancel()
+	orders := 0
 	for _, r := range plan.Reservations {
+		if r.Tokens == 0 {
+			continue
+		}
+		orders++
 		go func() {
 			ok, err := x.g.engines.Reserve(ctx, r.Server, id, r.Tokens, hold)
 			results <- result{
@@ -293,7 +300,7 @@
 		}()
 	}
 	var failed error
-	for range plan.Reservations {
+	for range orders {
 		switch res := <-results; {
 		case res.err != nil:
 			failed = res.err
@@ -309,11 +316,16 @@
 		x.g.obs.Event("reservation_failed", x.fields("cause", pwverdict.CauseOf(failed), "error", failed.Error()))
 		return nil, nil, failed
 	}
-	for _, r := range plan.Reservations {
-		helpers = append(helpers, Helper{
-			Address:     r.Server.Address,
-			Reservation: id,
-		})
+	for i, r := range plan.Reservations {
+		h := Helper{
+			Address: r.Server.Address,
+		}
+		if r.Tokens > 0 {
+			h.Reservation = id
+		} else if i == 0 {
+			continue
+		}
+		helpers = append(helpers, h)
 	}
 	return helpers, release, nil
 }
@@ -326,7 +338,9 @@
 // release gives reserved memory back, also after the caller has left.
 func (x *exchange) release(plan pwfleet.Plan, id string) {
 	for _, r := range plan.Reservations {
-		go x.releaseOne(r, id)
+		if r.Tokens > 0 {
+			go x.releaseOne(r, id)
+		}
 	}
 }
 
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -99,6 +99,7 @@
 			x.lastEvent = ev.id
 		}
 		x.events++
+		x.noteGap()
 		if br.Buffered() > 0 && completeEvent(br) {
 			continue
 		}
@@ -111,6 +112,15 @@
 	}
 }
 
+// noteGap notes the pause before an event.
+func (x *exchange) noteGap() {
+	now := time.Now()
+	if !x.eventAt.IsZero() {
+		x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
+}
+
 // completeEvent reports whether another whole event is buffered.
 func completeEvent(br *bufio.Reader) bool {
 	// Peeking at what is buffered reads nothing and can't fail.
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -52,14 +52,23 @@
 	AgeMS uint32
 }
 
+// Message is what a peer says.
+type Message struct {
+	Loads   []pwfleet.ServerLoad
+	Hold    time.Duration
+	Crashes []Crash
+}
+
 // View is the state that is exchanged.
 type View interface {
 	// OwnLoads returns what this process has in flight.
 	OwnLoads() []pwfleet.ServerLoad
+	// OwnHold returns how long a prompt that needs most engines has waited here.
+	OwnHold() time.Duration
 	// OwnCrashes returns the crashes that peers should know.
 	OwnCrashes() []Crash
 	// MergePeer takes over what a peer has in flight.
-	MergePeer(peer string, loads []pwfleet.ServerLoad, crashes []Crash)
+	MergePeer(peer string, m Message)
 }
 
 // Config configures an Exchange.
@@ -228,16 +237,18 @@
 	Start    uint64
 	Sequence uint64
 	Name     [64]byte
-	Loads    uint16
-	Crashes  uint16
+	// HoldMS is how long a prompt that needs most engines has waited; 0 is none.
+	HoldMS  uint32
+	Loads   uint16
+	Crashes uint16
 }
 
 // record is the load on one server.
 type record struct {
 	Server   uint64
 	ReadMS   float32
-	LongMS   float32
-	Short    uint16
+	Tight    uint16
+	Medium   uint16
 	Requests uint16
 	Memory   uint32
 }
@@ -251,6 +262,7 @@
 		Magic:    magic,
 		Start:    x.start,
 		Sequence: sequence,
+		HoldMS:   uint32(x.view.OwnHold().Milliseconds()),
 		Loads:    uint16(len(loads)),
 		Crashes:  uint16(len(crashes)),
 	}
@@ -263,8 +275,8 @@
 		records[i] = record{
 			Server:   l.Server,
 			ReadMS:   float32(l.ReadMS),
-			LongMS:   float32(l.LongMS),
-			Short:    uint16(l.Short),
+			Tight:    uint16(l.Tight),
+			Medium:   uint16(l.Medium),
 			Requests: uint16(l.Requests),
 			Memory:   uint32(max(0, l.Memory)),
 		}
@@ -325,14 +337,18 @@
 			Server: rec.Server,
 			Load: pwfleet.Load{
 				ReadMS:   float64(rec.ReadMS),
-				LongMS:   float64(rec.LongMS),
-				Short:    int(rec.Short),
+				Tight:    int(rec.Tight),
+				Medium:   int(rec.Medium),
 				Requests: int(rec.Requests),
 				Memory:   int64(rec.Memory),
 			},
 		}
 	}
-	x.view.MergePeer(string(bytes.TrimRight(h.Name[:], "\x00")), loads, crashes)
+	x.view.MergePeer(string(bytes.TrimRight(h.Name[:], "\x00")), Message{
+		Loads:   loads,
+		Hold:    time.Duration(h.HoldMS) * time.Millisecond,
+		Crashes: crashes,
+	})
 	return nil
 }
 
