Read long prompts on engines that write nothing, and renew reservations

Change: reservations last a little less than the time in which memory must be free, and are renewed; parts are small enough for a pass with short answers; engines that write nothing take larger ones; a silent server that answers others gets more time before its stream goes elsewhere.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -36,11 +36,17 @@
 	// DefaultShortPassMS bounds the pass of an engine that gets a short prompt;
 	// it leaves half of a pause of 250 ms for what arrives later.
 	DefaultShortPassMS = 150.0
-	// DefaultPartMS is the reading time of a part that long prompts are split into.
-	DefaultPartMS = 200.0
-	// DefaultLaneMS bounds the reading on an engine that writes nothing, so that
-	// what comes next still has time for its first token.
-	DefaultLaneMS = 500.0
+	// DefaultPartMS is the reading time of a part that long prompts are split
+	// into; it fits into a pass of an engine that writes short answers.
+	DefaultPartMS = 140.0
+	// DefaultLaneMS bounds the reading on an engine, so that what comes next
+	// still has time for its first token.
+	DefaultLaneMS = 700.0
+	// DefaultHeavyMS bounds it on engines that write nothing, for prompts whose
+	// parts are larger.
+	DefaultHeavyMS = 1500.0
+	// DefaultUrgentMS bounds the parts of a prompt that would be lost otherwise.
+	DefaultUrgentMS = 3000.0
 	// DefaultTightGap, DefaultMediumGap and DefaultLooseGap are the longest pauses
 	// of three kinds of streams: the platform's short, middle and long requests.
 	DefaultTightGap  = 250 * time.Millisecond
@@ -51,17 +57,6 @@
 	DefaultGapShare = 0.85
 	// DefaultSuspectMS is the room that a failure takes from an engine.
 	DefaultSuspectMS = 300.0
-	// DefaultIdleReadMS is the reading up to which an engine counts as idle.
-	DefaultIdleReadMS = 120.0
-	// DefaultHeavyShare is the part of the engines without tight streams that
-	// must be idle before a prompt that fits nowhere takes them.
-	DefaultHeavyShare = 0.7
-	// DefaultHeavyFleet is the part of all engines that must be without tight
-	// streams for that.
-	DefaultHeavyFleet = 0.25
-	// DefaultUrgentParts is the number of engines that an urgent prompt takes
-	// when all have tight streams.
-	DefaultUrgentParts = 5
 	// DefaultMaxParts is the largest number of engines that read one prompt:
 	// the platform takes 16 helpers beside the first.
 	DefaultMaxParts = 17
@@ -91,10 +86,8 @@
 	LooseGap     time.Duration
 	GapShare     float64
 	SuspectMS    float64
-	IdleReadMS   float64
-	HeavyShare   float64
-	HeavyFleet   float64
-	UrgentParts  int
+	HeavyMS      float64
+	UrgentMS     float64
 	MaxParts     int
 	ShortFill    float64
 	PeerExpiry   time.Duration
@@ -121,10 +114,8 @@
 	orDefault(&cfg.LooseGap, DefaultLooseGap)
 	orDefault(&cfg.GapShare, DefaultGapShare)
 	orDefault(&cfg.SuspectMS, DefaultSuspectMS)
-	orDefault(&cfg.IdleReadMS, DefaultIdleReadMS)
-	orDefault(&cfg.HeavyShare, DefaultHeavyShare)
-	orDefault(&cfg.HeavyFleet, DefaultHeavyFleet)
-	orDefault(&cfg.UrgentParts, DefaultUrgentParts)
+	orDefault(&cfg.HeavyMS, DefaultHeavyMS)
+	orDefault(&cfg.UrgentMS, DefaultUrgentMS)
 	orDefault(&cfg.MaxParts, DefaultMaxParts)
 	orDefault(&cfg.ShortFill, DefaultShortFill)
 	orDefault(&cfg.PeerExpiry, DefaultPeerExpiry)
@@ -180,6 +171,7 @@
 	badness      float64
 	suspectUntil time.Time
 	fullUntil    time.Time
+	heardAt      time.Time
 	// lapsesAt is when a lapsed entry stops naming the server; zero if it is listed.
 	lapsesAt time.Time
 	gone     bool
@@ -409,6 +401,21 @@
 	}
 }
 
+// Heard notes that a server sent something.
+func (f *Fleet) Heard(now time.Time, id string) {
+	if s := f.servers[id]; s != nil {
+		s.heardAt = now
+	}
+}
+
+// HeardAt returns when a server last sent something to this process.
+func (f *Fleet) HeardAt(id string) time.Time {
+	if s := f.servers[id]; s != nil {
+		return s.heardAt
+	}
+	return time.Time{}
+}
+
 // Full notes that a server rejected a request for want of room.
 func (f *Fleet) Full(now time.Time, id string) {
 	if s := f.servers[id]; s != nil {
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -338,7 +338,8 @@
 }
 
 // allowance is the reading that fits into a pass of an engine without a pause
-// that is too long for the streams there.
+// that is too long for the streams there. Engines that write nothing may have
+// more, because only what waits behind it is delayed.
 func (f *Fleet) allowance(m pwcost.Model, l Load) (tier int, ms float64) {
 	pass := m.Pass(l.Requests, l.Memory, 0)
 	within := func(gap time.Duration) float64 {
@@ -346,16 +347,24 @@
 	}
 	switch {
 	case l.Tight > 0:
-		return 3, within(f.cfg.TightGap)
+		return tierTight, within(f.cfg.TightGap)
 	case l.Medium > 0:
-		return 2, within(f.cfg.MediumGap)
+		return tierMedium, within(f.cfg.MediumGap)
 	case l.Requests > 0:
-		return 1, within(f.cfg.LooseGap)
+		return tierLoose, within(f.cfg.LooseGap)
 	default:
-		return 0, f.cfg.LaneMS
+		return tierReader, f.cfg.LaneMS
 	}
 }
 
+// Tiers of engines by the streams that they write.
+const (
+	tierReader = iota
+	tierLoose
+	tierMedium
+	tierTight
+)
+
 // spread returns the engines over which a prompt is read: as many as make parts
 // of the usual size, more or fewer if those have room, and none if it must wait.
 func (f *Fleet) spread(r Request, total float64, all []candidate) (chosen []candidate, reason string) {
@@ -366,30 +375,56 @@
 			return chosen, "spread"
 		}
 	}
-	for k := usual - 1; k > 0; k-- {
+	for k := usual - 1; k > 0 && total/float64(k) <= f.cfg.LaneMS; k-- {
 		if chosen = roomy(all, total/float64(k), k); chosen != nil {
 			return chosen, "fewer_engines"
 		}
 	}
-	// A prompt that fits nowhere takes the engines without tight streams, once
-	// most of them have little left to read.
-	var lane, idle []candidate
-	for _, c := range all {
-		if c.tier < 3 {
-			lane = append(lane, c)
-			if c.l.ReadMS <= f.cfg.IdleReadMS {
-				idle = append(idle, c)
-			}
-		}
-	}
-	if total/float64(most) > f.cfg.LaneMS/2 && len(idle) > 0 && float64(len(idle)) >= f.cfg.HeavyShare*float64(len(lane)) &&
-		float64(len(lane)) >= f.cfg.HeavyFleet*float64(len(all)) {
-		return idle[:min(len(idle), f.cfg.MaxParts)], "heavy"
+	if chosen = f.heavy(total, all); chosen != nil {
+		return chosen, "heavy"
 	}
 	if !r.Urgent {
 		return nil, ""
 	}
-	return all[:max(1, min(usual, most, max(len(lane), f.cfg.UrgentParts)))], "urgent"
+	lane := all[:min(countBelow(all, tierTight), f.cfg.MaxParts)]
+	if len(lane) == 0 || total/float64(len(lane)) > f.cfg.UrgentMS {
+		return nil, ""
+	}
+	return lane, "urgent"
+}
+
+// heavy places a prompt whose parts fit nowhere: on engines that write nothing,
+// and on those with loose streams if the part fits into their pauses.
+func (f *Fleet) heavy(total float64, all []candidate) []candidate {
+	readers := countBelow(all, tierLoose)
+	loose := countBelow(all, tierMedium)
+	for _, n := range []int{readers, loose} {
+		for k := min(n, f.cfg.MaxParts); k > 0; k-- {
+			part := total / float64(k)
+			if part > f.cfg.HeavyMS {
+				break
+			}
+			var out []candidate
+			for _, c := range all[:n] {
+				if c.tier == tierReader && c.l.ReadMS+part <= f.cfg.HeavyMS || c.room >= part {
+					out = append(out, c)
+				}
+			}
+			if len(out) >= k {
+				return out[:k]
+			}
+		}
+	}
+	return nil
+}
+
+// countBelow returns how many engines are of lower tiers; they come first.
+func countBelow(all []candidate, tier int) int {
+	n := 0
+	for n < len(all) && all[n].tier < tier {
+		n++
+	}
+	return n
 }
 
 // roomy returns the first k engines with room for a part, or nil.
@@ -406,11 +441,6 @@
 	return nil
 }
 
-// Heavy reports whether a prompt needs most engines at once.
-func (f *Fleet) Heavy(r Request) bool {
-	return f.ReadMS(r) > f.cfg.PartMS*float64(f.cfg.MaxParts)
-}
-
 // reserveMemory spreads a prompt that is too large for one engine over the
 // memory of the first engine and of as few helpers as can hold it.
 func (f *Fleet) reserveMemory(p Plan, first *server, helpers []*server, size, need int64) (Plan, error) {
--- a/internal/node/pwdeployment/deployment.go
+++ b/internal/node/pwdeployment/deployment.go
@@ -29,6 +29,8 @@
 	ColdSlack   float64
 	// HoldMax is the longest time that engine memory may be reserved.
 	HoldMax time.Duration
+	// Free is the time within which engine memory must be free after its request.
+	Free time.Duration
 	// Stall is how long work waits on a dead engine before it is cut off.
 	Stall time.Duration
 	// ReuseAfter is the time after which an address may belong to another server.
--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -128,9 +128,6 @@
 // OwnCrashes implements pwpeering.View.
 func (g *Gateway) OwnCrashes() []pwpeering.Crash { return g.crashes.tell() }
 
-// OwnHold implements pwpeering.View.
-func (g *Gateway) OwnHold() time.Duration { return g.dispatch.ownHold() }
-
 // MergePeer implements pwpeering.View.
 func (g *Gateway) MergePeer(peer string, m pwpeering.Message) {
 	for _, c := range m.Crashes {
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -25,13 +25,6 @@
 // else has happened; engines finish reading without a message.
 const scheduleInterval = 10 * time.Millisecond
 
-const (
-	// holdExpiry is the age at which a peer's hold no longer counts.
-	holdExpiry = 500 * time.Millisecond
-	// maxHold bounds the time that one heavy prompt keeps others waiting.
-	maxHold = 1200 * time.Millisecond
-)
-
 // leastEngines is the number of engines that a long prompt is taken to get when
 // its place in the queue is found.
 const leastEngines = 10
@@ -46,7 +39,6 @@
 	req      pwfleet.Request
 	readMS   float64
 	short    bool
-	heavy    bool
 	priority [2]int
 	arrived  time.Time
 	// aim is when the first token is due, latest when the caller leaves.
@@ -81,10 +73,6 @@
 	waiting []*want
 	budgets map[string]*pwretry.Budget
 	counted int
-	holds   map[string]hold
-	// heavySince is when a prompt that needs most engines became first; zero if
-	// none is.
-	heavySince time.Time
 }
 
 func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
@@ -97,7 +85,6 @@
 		fleet:      f,
 		budgets:    make(map[string]*pwretry.Budget),
 		counted:    1,
-		holds:      make(map[string]hold),
 	}
 }
 
@@ -147,52 +134,9 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.fleet.MergePeer(now, name, m.Loads)
-	if m.Hold > 0 {
-		d.holds[name] = hold{
-			since: now.Add(-m.Hold),
-			heard: now,
-		}
-	} else {
-		delete(d.holds, name)
-	}
 	d.schedule(now)
 }
 
-// hold is a peer's wish that no long prompt starts while one that needs most
-// engines waits there.
-type hold struct {
-	since time.Time
-	heard time.Time
-}
-
-// ownHold returns how long a heavy prompt has been first in the queue.
-func (d *dispatcher) ownHold() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.heavySince.IsZero() {
-		return 0
-	}
-	return max(time.Millisecond, time.Since(d.heavySince))
-}
-
-// heldBy returns the peer whose heavy prompt comes first, or "". The one that
-// has waited longest goes first; holds end by themselves.
-func (d *dispatcher) heldBy(now time.Time) string {
-	best := ""
-	for name, h := range d.holds {
-		if now.Sub(h.heard) > holdExpiry || now.Sub(h.since) > maxHold {
-			continue
-		}
-		if !d.heavySince.IsZero() && !h.since.Before(d.heavySince) {
-			continue
-		}
-		if best == "" || h.since.Before(d.holds[best].since) {
-			best = name
-		}
-	}
-	return best
-}
-
 func (d *dispatcher) maintain(now time.Time) {
 	d.mu.Lock()
 	expired := d.fleet.ExpirePeers(now)
@@ -244,9 +188,8 @@
 	now := time.Now()
 	w.short = d.fleet.IsShort(w.req)
 	w.readMS = d.fleet.ReadMS(w.req)
-	w.heavy = d.fleet.Heavy(w.req)
 	w.start = w.aim.Add(-time.Duration(w.readMS / leastEngines * float64(time.Millisecond)))
-	if w.short || len(d.waiting) == 0 && d.heldBy(now) == "" {
+	if w.short || len(d.waiting) == 0 {
 		if g := d.try(now, w); g.err == nil || !d.waits(now, w, g.err) {
 			d.mu.Unlock()
 			d.changed(g)
@@ -368,31 +311,15 @@
 		return
 	}
 	slices.SortStableFunc(d.waiting, func(a, b *want) int { return before(a, b, now) })
-	heldBy := d.heldBy(now)
-	heavy, held := false, false
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
-		if !w.short && (held || heldBy != "") && now.Before(w.urgentAt) {
-			kept = append(kept, w)
-			continue
-		}
 		g := d.try(now, w)
 		if g.err != nil && d.waits(now, w, g.err) {
 			kept = append(kept, w)
-			if w.heavy && w.late(now) == 0 && !heavy {
-				heavy = true
-				if d.heavySince.IsZero() {
-					d.heavySince = now
-				}
-				held = now.Sub(d.heavySince) < maxHold
-			}
 			continue
 		}
 		w.grant(g)
 	}
-	if !heavy {
-		d.heavySince = time.Time{}
-	}
 	clear(d.waiting[len(kept):])
 	d.waiting = kept
 }
@@ -441,6 +368,13 @@
 	}
 }
 
+// heard notes a sign of life of a server.
+func (d *dispatcher) heard(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.Heard(time.Now(), id)
+}
+
 func (d *dispatcher) signal() {
 	select {
 	case d.wake <- struct{}{}:
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -20,6 +20,8 @@
 	// StallShare is the part of that time after which a silent server is given
 	// up while another may still serve the request.
 	StallShare float64
+	// BusyStallShare is the same for a server that answers other requests.
+	BusyStallShare float64
 	// SafeTimeoutTargets is the time in targets after which a safe call is sent
 	// to a second server.
 	SafeTimeoutTargets float64
@@ -48,6 +50,7 @@
 	def(&p.AbandonTargets, 4) // the same page
 	def(&p.AbandonGaps, 8)    // the same page
 	def(&p.StallShare, 0.7)
+	def(&p.BusyStallShare, 0.9)
 	def(&p.SafeTimeoutTargets, 1.6)
 	def(&p.NoServerShare, 0.125) // held longer, a refusal costs the caller its return
 	def(&p.UrgentShare, 0.7)
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
@@ -24,6 +25,10 @@
 	reserveTimeout = 700 * time.Millisecond
 	// releaseTimeout bounds the return of memory; later the lease ends it.
 	releaseTimeout = 3 * time.Second
+	// holdMargin is kept from the time in which memory must be free again.
+	holdMargin = 300 * time.Millisecond
+	// renewalsPerHold is how often a reservation is renewed before it would end.
+	renewalsPerHold = 2.5
 	// releaseInterval is the pause between tries to return memory.
 	releaseInterval = 200 * time.Millisecond
 )
@@ -35,6 +40,9 @@
 	booking *pwfleet.Booking
 	helpers []Helper
 	conn    *pwupstream.Conn
+	dog     *watchdog
+	// silent is set when the watchdog ended the send.
+	silent atomic.Bool
 }
 
 // do sends the request and delivers the answer.
@@ -64,9 +72,8 @@
 	})
 	s.logSent()
 	x.sends++
-	if err := conn.SetReadDeadline(s.firstDeadline()); err != nil {
-		return false, pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseUnavailable, "preparing to send")
-	}
+	s.dog = s.watch()
+	defer s.dog.stop()
 	resp, err := conn.Do(ctx, &pwupstream.Request{
 		Method: x.r.Method,
 		Target: x.r.RequestURI,
@@ -103,36 +110,10 @@
 	return min(9, u)
 }
 
-// firstDeadline is how long the server may stay silent at first.
-func (s *send) firstDeadline() time.Time {
-	x := s.x
-	if !s.mayRepeat() {
-		return x.deadline
-	}
-	wait := time.Duration(x.g.cfg.Policy.SafeTimeoutTargets * float64(x.route.Target))
-	if x.route.Kind == pwcatalog.Streaming {
-		wait = s.stall()
-	}
-	return earlier(time.Now().Add(wait), x.deadline)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-// stall is how long a stream may be silent before another server takes over.
-func (s *send) stall() time.Duration {
-	p := s.x.g.cfg.Policy
-	read := time.Duration(2 * s.plan.ReadMS * float64(time.Millisecond))
-	return max(time.Duration(p.StallShare*float64(p.abandon(s.x.route))), min(read, s.x.route.Target))
-}
-
-// mayRepeat reports whether another server may run the request after this one did.
-func (s *send) mayRepeat() bool {
-	return s.x.route.Repeatable() && s.x.runs+1 < s.x.route.Attempts
+// safeTimeout is how long a server may be silent to a call that another one
+// may answer.
+func (s *send) safeTimeout() time.Duration {
+	return time.Duration(s.x.g.cfg.Policy.SafeTimeoutTargets * float64(s.x.route.Target))
 }
 
 // match skips answers that belong to other requests.
@@ -200,17 +181,14 @@
 	}
 	s.failed()
 	x.tried[s.plan.Server.ID] = true
-	if !isTimeout(err) {
+	if s.silent.Load() {
+		err = pwverdict.Wrap(errSilent, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "%s", s.plan.Server.ID)
+	} else {
 		go x.g.probeCrash(x, s.plan.Server.Address)
 	}
 	return x.route.Repeatable() && x.runs < x.route.Attempts, err
 }
 
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
-
 func (s *send) failed() {
 	var pause time.Duration
 	s.x.g.dispatch.with(func(now time.Time, f *pwfleet.Fleet) {
@@ -275,7 +253,7 @@
 		return helpers, func() {}, nil
 	}
 	id := x.reservation()
-	hold := min(x.g.cfg.Deployment.Bounds.HoldMax, time.Until(x.deadline)+releaseTimeout)
+	hold := x.g.hold()
 	type result struct {
 		r   pwfleet.Reservation
 		ok  bool
@@ -327,7 +305,50 @@
 		}
 		helpers = append(helpers, h)
 	}
-	return helpers, release, nil
+	renewing, stop := context.WithCancel(x.r.Context())
+	go x.loopRenew(renewing, plan, id, hold)
+	return helpers, func() {
+		stop()
+		release()
+	}, nil
+}
+
+// hold is how long a reservation lasts without renewal: memory must be free
+// soon after this process dies.
+func (g *Gateway) hold() time.Duration {
+	b := g.cfg.Deployment.Bounds
+	return min(b.HoldMax, max(b.Free-holdMargin, 2*holdMargin))
+}
+
+// loopRenew keeps reserved memory while its request runs.
+func (x *exchange) loopRenew(ctx context.Context, plan pwfleet.Plan, id string, hold time.Duration) {
+	t := time.NewTicker(time.Duration(float64(hold) / renewalsPerHold))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		for _, r := range plan.Reservations {
+			if r.Tokens > 0 {
+				go x.renewOne(ctx, r, id, hold)
+			}
+		}
+	}
+}
+
+func (x *exchange) renewOne(ctx context.Context, r pwfleet.Reservation, id string, hold time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, reserveTimeout)
+	defer cancel()
+	ok, err := x.g.engines.Reserve(ctx, r.Server, id, r.Tokens, hold)
+	if ctx.Err() == nil && (err != nil || !ok) {
+		f := x.fields("backend_server", r.Server.ID, "held", ok)
+		if err != nil {
+			f["error"] = err.Error()
+		}
+		x.g.obs.Event("renewal_failed", f)
+	}
 }
 
 // reservation names the memory of this try; another try has another name.
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -79,6 +79,7 @@
 		if err != nil {
 			return s.streamBroken(err)
 		}
+		x.g.dispatch.heard(s.plan.Server.ID)
 		next, repeated := follows(x.lastEvent, ev.id)
 		if repeated {
 			continue
@@ -99,6 +100,7 @@
 			x.lastEvent = ev.id
 		}
 		x.events++
+		s.dog.heard()
 		x.noteGap()
 		if br.Buffered() > 0 && completeEvent(br) {
 			continue
@@ -106,9 +108,6 @@
 		if err := rc.Flush(); err != nil {
 			return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseCancelled, "writing to the caller")
 		}
-		if err := s.conn.SetReadDeadline(s.nextDeadline()); err != nil {
-			return s.streamBroken(err)
-		}
 	}
 }
 
@@ -162,15 +161,6 @@
 	return "long"
 }
 
-// nextDeadline is how long the server may be silent between events.
-func (s *send) nextDeadline() time.Time {
-	x := s.x
-	if !x.route.Repeatable() || x.runs >= x.route.Attempts {
-		return x.deadline
-	}
-	return earlier(time.Now().Add(s.stall()), x.deadline)
-}
-
 func (s *send) streamEnded(resp *http.Response) (bool, error) {
 	x := s.x
 	if !x.started {
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -55,7 +55,6 @@
 // Message is what a peer says.
 type Message struct {
 	Loads   []pwfleet.ServerLoad
-	Hold    time.Duration
 	Crashes []Crash
 }
 
@@ -63,8 +62,6 @@
 type View interface {
 	// OwnLoads returns what this process has in flight.
 	OwnLoads() []pwfleet.ServerLoad
-	// OwnHold returns how long a prompt that needs most engines has waited here.
-	OwnHold() time.Duration
 	// OwnCrashes returns the crashes that peers should know.
 	OwnCrashes() []Crash
 	// MergePeer takes over what a peer has in flight.
@@ -237,10 +234,8 @@
 	Start    uint64
 	Sequence uint64
 	Name     [64]byte
-	// HoldMS is how long a prompt that needs most engines has waited; 0 is none.
-	HoldMS  uint32
-	Loads   uint16
-	Crashes uint16
+	Loads    uint16
+	Crashes  uint16
 }
 
 // record is the load on one server.
@@ -262,7 +257,6 @@
 		Magic:    magic,
 		Start:    x.start,
 		Sequence: sequence,
-		HoldMS:   uint32(x.view.OwnHold().Milliseconds()),
 		Loads:    uint16(len(loads)),
 		Crashes:  uint16(len(crashes)),
 	}
@@ -346,7 +340,6 @@
 	}
 	x.view.MergePeer(string(bytes.TrimRight(h.Name[:], "\x00")), Message{
 		Loads:   loads,
-		Hold:    time.Duration(h.HoldMS) * time.Millisecond,
 		Crashes: crashes,
 	})
 	return nil
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -258,8 +258,11 @@
 	return bw.Flush()
 }
 
-// SetReadDeadline bounds the next reads.
-func (c *Conn) SetReadDeadline(t time.Time) error { return c.c.SetReadDeadline(t) }
+// Abort ends reads and writes at once; the caller of Do still has to Close.
+func (c *Conn) Abort() {
+	// A connection that can't be closed is closed already.
+	_ = c.c.Close()
+}
 
 // Do sends a request and returns the head of the answer. The end of ctx closes
 // the connection until Release or Close. Its errors are MayHaveRun.
