--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -201,6 +201,7 @@
 }
 
 func (s *send) release(resp *http.Response) {
+	s.dog.stop()
 	s.conn.Release(resp)
 	s.conn = nil
 }
--- a/internal/node/pwgateway/watchdog.go
+++ b/internal/node/pwgateway/watchdog.go
@@ -7,6 +7,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
 )
 
 // busyWindow is the age up to which a sign of life on other connections shows
@@ -20,11 +21,13 @@
 // serve the request. A server that answers others gets more time.
 type watchdog struct {
 	s     *send
+	conn  *pwupstream.Conn
 	timer *time.Timer
 	// armed is set when another server may run the request after this one.
 	armed bool
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	stopped bool
 	// since is when the server was last heard on this connection.
 	since time.Time
 }
@@ -33,9 +36,12 @@
 func (s *send) watch() *watchdog {
 	w := &watchdog{
 		s:     s,
+		conn:  s.conn,
 		armed: s.x.route.Repeatable() && s.x.runs+1 < s.x.route.Attempts,
 		since: time.Now(),
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(s.patience(false), w.check)
 	return w
 }
@@ -61,7 +67,14 @@
 	w.since = time.Now()
 }
 
-func (w *watchdog) stop() { w.timer.Stop() }
+// stop ends the watchdog. Afterwards the connection may carry another request,
+// which must not be ended.
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
 
 // check runs when the server may have been silent for too long.
 func (w *watchdog) check() {
@@ -69,15 +82,17 @@
 	if !w.armed {
 		return
 	}
-	w.mu.Lock()
-	silent := time.Since(w.since)
-	w.mu.Unlock()
 	var heardAt time.Time
 	s.x.g.dispatch.with(func(_ time.Time, f *pwfleet.Fleet) { heardAt = f.HeardAt(s.plan.Server.ID) })
-	if left := s.patience(time.Since(heardAt) < busyWindow) - silent; left > 0 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	if left := s.patience(time.Since(heardAt) < busyWindow) - time.Since(w.since); left > 0 {
 		w.timer.Reset(left)
 		return
 	}
 	s.silent.Store(true)
-	s.conn.Abort()
+	w.conn.Abort()
 }
