Cut a stream when the next server fails, and test the gateway without network

Change: after the head of a stream only events may follow; anything else counts as a lost answer. A call that only full servers could take waits for room.

--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -97,7 +97,7 @@
 	case now.Before(s.suspectUntil):
 		return "suspect"
 	case now.Before(s.fullUntil):
-		return "full"
+		return reasonFull
 	case now.Before(s.coldUntil) && !f.coldAllowed(now, s):
 		return "cold"
 	}
@@ -116,9 +116,17 @@
 	return s.cold.have >= 1
 }
 
+// reasonFull is the reason of a server that has just rejected a request.
+const reasonFull = "full"
+
 // errNoServer is returned when no server of the service may get work.
 func errNoServer(service string, why map[string]int) error {
-	return pwverdict.New(pwverdict.NotRun, pwverdict.CauseNoCandidate,
+	cause := pwverdict.CauseNoCandidate
+	if why[reasonFull] > 0 {
+		// A full server soon has room again.
+		cause = pwverdict.CauseConcurrencyFull
+	}
+	return pwverdict.New(pwverdict.NotRun, cause,
 		"no backend server of %q may get work: %v", service, why)
 }
 
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -99,6 +99,7 @@
 	Codec      Codec
 	Engines    Engines
 	Fleet      pwfleet.Config
+	Upstream   pwupstream.Config
 	Policy     Policy
 }
 
@@ -124,7 +125,7 @@
 		cfg:     cfg,
 		codec:   cfg.Codec,
 		engines: cfg.Engines,
-		pool:    pwupstream.New(pwupstream.Config{}),
+		pool:    pwupstream.New(cfg.Upstream),
 		obs:     obs,
 		contact: time.Now,
 	}
@@ -237,6 +238,7 @@
 
 // Run does the gateway's background work until ctx ends.
 func (g *Gateway) Run(ctx context.Context) {
+	defer g.pool.Close()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -216,6 +216,11 @@
 	if err != nil {
 		return s.lost(pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "the answer broke off"))
 	}
+	if x.started {
+		// The head of a stream has been delivered; only events may follow it.
+		return s.lost(pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseEngineFailed,
+			"%s answered %d instead of going on with the stream", s.plan.Server.ID, resp.StatusCode))
+	}
 	s.release(resp)
 	if resp.StatusCode >= http.StatusInternalServerError && s.x.runs < x.route.Attempts && x.route.Repeatable() &&
 		time.Until(x.deadline) > x.route.Target/2 {
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -60,15 +60,17 @@
 	IdleTimeout time.Duration
 	UserTimeout time.Duration
 	MaxIdle     int
+	// Dial makes connections; the default makes TCP connections.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Pool holds the idle connections by address.
 type Pool struct {
-	cfg    Config
-	dialer net.Dialer
+	cfg Config
 
-	mu   sync.Mutex
-	idle map[string][]*Conn
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	closed bool
 }
 
 // New returns an empty pool.
@@ -89,15 +91,18 @@
 		cfg:  cfg,
 		idle: make(map[string][]*Conn),
 	}
-	p.dialer = net.Dialer{
-		Timeout: cfg.DialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveInterval,
-			Interval: keepAliveInterval,
-			Count:    keepAliveProbes,
-		},
-		Control: p.control,
+	if cfg.Dial == nil {
+		dialer := &net.Dialer{
+			Timeout: cfg.DialTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     keepAliveInterval,
+				Interval: keepAliveInterval,
+				Count:    keepAliveProbes,
+			},
+			Control: p.control,
+		}
+		p.cfg.Dial = dialer.DialContext
 	}
 	return p
 }
@@ -141,7 +146,7 @@
 		}
 		c.Close()
 	}
-	conn, err := p.dialer.DialContext(ctx, "tcp", addr)
+	conn, err := p.cfg.Dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseUnavailable, "connecting to %s", addr)
 	}
@@ -177,6 +182,19 @@
 	}
 }
 
+// Close closes the idle connections; those in use are closed when they are released.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle, p.closed = make(map[string][]*Conn), true
+	p.mu.Unlock()
+	for _, list := range idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
 // CloseExpired closes connections that have been idle for too long.
 func (p *Pool) CloseExpired() {
 	var closing []*Conn
@@ -340,7 +358,7 @@
 
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
-	full := len(p.idle[c.addr]) >= p.cfg.MaxIdle
+	full := p.closed || len(p.idle[c.addr]) >= p.cfg.MaxIdle
 	if !full {
 		p.idle[c.addr] = append(p.idle[c.addr], c)
 	}
