--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -68,12 +68,15 @@
 const (
 	// DefaultWait is how long the store holds a watch. With the margin it bounds
 	// the time until a silent store or connection is noticed.
-	DefaultWait   = 2500 * time.Millisecond
+	DefaultWait   = 3500 * time.Millisecond
 	DefaultMargin = 500 * time.Millisecond
 	// DefaultListTimeout bounds a listing; large tables take several calls.
 	DefaultListTimeout = 1500 * time.Millisecond
-	DefaultMinBackoff  = 50 * time.Millisecond
-	DefaultMaxBackoff  = 800 * time.Millisecond
+	// DefaultPace is the pause after a change, in which others gather; each
+	// answer of the store has its price.
+	DefaultPace       = 200 * time.Millisecond
+	DefaultMinBackoff = 50 * time.Millisecond
+	DefaultMaxBackoff = 800 * time.Millisecond
 	// DefaultReturnWindow is the time after an outage of the store in which
 	// entries that lapsed meanwhile come back.
 	DefaultReturnWindow = 2 * time.Second
@@ -85,6 +88,7 @@
 	Wait         time.Duration
 	Margin       time.Duration
 	ListTimeout  time.Duration
+	Pace         time.Duration
 	MinBackoff   time.Duration
 	MaxBackoff   time.Duration
 	ReturnWindow time.Duration
@@ -99,6 +103,7 @@
 	def(&cfg.Wait, DefaultWait)
 	def(&cfg.Margin, DefaultMargin)
 	def(&cfg.ListTimeout, DefaultListTimeout)
+	def(&cfg.Pace, DefaultPace)
 	def(&cfg.MinBackoff, DefaultMinBackoff)
 	def(&cfg.MaxBackoff, DefaultMaxBackoff)
 	def(&cfg.ReturnWindow, DefaultReturnWindow)
@@ -171,12 +176,8 @@
 			f.away = true
 			f.obs.Warn("store lost", err, "table", f.cfg.Name)
 		}
-		pause := time.Duration(rand.Float64()*float64(backoff)) + backoff/2
+		pause(ctx, time.Duration(rand.Float64()*float64(backoff))+backoff/2)
 		backoff = min(2*backoff, f.cfg.MaxBackoff)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
 	}
 }
 
@@ -194,9 +195,20 @@
 	f.contact()
 	f.take(snap.Items)
 	f.version = max(f.version, snap.Version)
+	if len(snap.Items) > 0 {
+		pause(ctx, f.cfg.Pace)
+	}
 	return nil
 }
 
+// pause waits unless ctx ends first.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // errBehind says that a listing is older than what is known already.
 var errBehind = errors.New("the store answered from behind")
 
