Spread short prompts of many processes over several engines

Change: one more engine for each six processes, drawn at random; entries of servers are gathered for half a second.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -54,7 +54,10 @@
 	// peerInterval is how often the list of processes is read anew.
 	peerInterval = 10 * time.Second
 	peerTimeout  = 2 * time.Second
-	peerBackoff  = 300 * time.Millisecond
+	// serverPace gathers the entries of servers that register one after the
+	// other; it is a quarter of the time in which a leaving server must be known.
+	serverPace  = 500 * time.Millisecond
+	peerBackoff = 300 * time.Millisecond
 )
 
 // Options are the inputs of "gateway".
@@ -131,6 +134,7 @@
 	}, p.obs, p.applyOperator)
 	p.servers = pwcontrol.NewFollower(platform.NewServerTable(client), pwcontrol.Config{
 		Name: "servers",
+		Pace: serverPace,
 	}, p.obs, p.gateway.Servers)
 	p.peers = platform.NewPeerTable(client)
 	p.gateway.SetContact(p.operator.LastContact)
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -20,6 +20,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -62,6 +63,9 @@
 	DefaultMaxParts = 17
 	// DefaultShortFill is the share of an engine's slots that short answers fill.
 	DefaultShortFill = 0.75
+	// DefaultProcessesPerEngine spreads the short prompts that many processes
+	// send before they hear of each other: one more engine for so many of them.
+	DefaultProcessesPerEngine = 6
 	// DefaultPeerExpiry is the age at which a peer's load no longer counts.
 	DefaultPeerExpiry = time.Second
 	// DefaultMinSuspect and DefaultMaxSuspect bound the time that a server gets
@@ -77,24 +81,27 @@
 
 // Config configures a Fleet. Zero fields take their defaults.
 type Config struct {
-	ShortReadMS  float64
-	ShortPassMS  float64
-	PartMS       float64
-	LaneMS       float64
-	TightGap     time.Duration
-	MediumGap    time.Duration
-	LooseGap     time.Duration
-	GapShare     float64
-	SuspectMS    float64
-	HeavyMS      float64
-	UrgentMS     float64
-	MaxParts     int
-	ShortFill    float64
-	PeerExpiry   time.Duration
-	MinSuspect   time.Duration
-	MaxSuspect   time.Duration
-	FullPause    time.Duration
-	ReturnWindow time.Duration
+	ShortReadMS float64
+	ShortPassMS float64
+	PartMS      float64
+	LaneMS      float64
+	TightGap    time.Duration
+	MediumGap   time.Duration
+	LooseGap    time.Duration
+	GapShare    float64
+	SuspectMS   float64
+	HeavyMS     float64
+	UrgentMS    float64
+	MaxParts    int
+	ShortFill   float64
+	// Draw returns a number in [0, n); the default is random.
+	Draw               func(n int) int
+	ProcessesPerEngine int
+	PeerExpiry         time.Duration
+	MinSuspect         time.Duration
+	MaxSuspect         time.Duration
+	FullPause          time.Duration
+	ReturnWindow       time.Duration
 }
 
 func orDefault[T cmp.Ordered](v *T, def T) {
@@ -118,6 +125,10 @@
 	orDefault(&cfg.UrgentMS, DefaultUrgentMS)
 	orDefault(&cfg.MaxParts, DefaultMaxParts)
 	orDefault(&cfg.ShortFill, DefaultShortFill)
+	orDefault(&cfg.ProcessesPerEngine, DefaultProcessesPerEngine)
+	if cfg.Draw == nil {
+		cfg.Draw = rand.IntN
+	}
 	orDefault(&cfg.PeerExpiry, DefaultPeerExpiry)
 	orDefault(&cfg.MinSuspect, DefaultMinSuspect)
 	orDefault(&cfg.MaxSuspect, DefaultMaxSuspect)
@@ -235,6 +246,13 @@
 // Version changes with each change of the own load.
 func (f *Fleet) Version() uint64 { return f.version }
 
+func (f *Fleet) draw(n int) int {
+	if n == 1 {
+		return 0
+	}
+	return f.cfg.Draw(n)
+}
+
 // Len returns the number of listed servers.
 func (f *Fleet) Len() int { return len(f.servers) }
 
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -208,6 +208,8 @@
 	read := m.Read(r.Tokens)
 	slots := max(1, m.Engine().Slots)
 	fill := max(1, int(f.cfg.ShortFill*float64(slots)))
+	window := 1 + f.Processes()/f.cfg.ProcessesPerEngine
+	fits := make([]*server, 0, window)
 	var best *server
 	bestPass := math.Inf(1)
 	for _, s := range cands {
@@ -217,12 +219,19 @@
 		}
 		pass := m.Pass(l.Requests+1, l.Memory+r.Tokens, l.ReadMS+read)
 		if pass <= f.cfg.ShortPassMS && l.Requests < fill && s.badness < 1 {
-			return f.shortPlan(r, s, read, "packed"), nil
+			// Other processes decide at the same moment, with the same order.
+			if fits = append(fits, s); len(fits) >= window {
+				return f.shortPlan(r, fits[f.draw(len(fits))], read, "packed"), nil
+			}
+			continue
 		}
 		if pass += 100 * s.badness; pass < bestPass {
 			best, bestPass = s, pass
 		}
 	}
+	if len(fits) > 0 {
+		return f.shortPlan(r, fits[f.draw(len(fits))], read, "packed"), nil
+	}
 	if best == nil {
 		if !r.Urgent {
 			return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CauseConcurrencyFull, "all slots of %q are taken", r.Service)
