--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -52,7 +52,7 @@
 	defaultHeaderTimeout = 5 * time.Second
 	defaultHeaderBytes   = 32 << 10
 	// peerInterval is how often the list of processes is read anew.
-	peerInterval = 10 * time.Second
+	peerInterval = 30 * time.Second
 	peerTimeout  = 2 * time.Second
 	// serverPace gathers the entries of servers that register one after the
 	// other; it is a quarter of the time in which a leaving server must be known.
@@ -134,7 +134,7 @@
 	}, p.obs, p.applyOperator)
 	p.servers = pwcontrol.NewFollower(platform.NewServerTable(client), pwcontrol.Config{
 		Name: "servers",
-		Pace: serverPace,
+		Pace: d.Bounds.Drain / serverPaceShare,
 	}, p.obs, p.gateway.Servers)
 	p.peers = platform.NewPeerTable(client)
 	p.gateway.SetContact(p.operator.LastContact)
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -65,7 +65,7 @@
 	DefaultShortFill = 0.75
 	// DefaultProcessesPerEngine spreads the short prompts that many processes
 	// send before they hear of each other: one more engine for so many of them.
-	DefaultProcessesPerEngine = 6
+	DefaultProcessesPerEngine = 4
 	// DefaultPeerExpiry is the age at which a peer's load no longer counts.
 	DefaultPeerExpiry = time.Second
 	// DefaultMinSuspect and DefaultMaxSuspect bound the time that a server gets
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -30,7 +30,7 @@
 	DefaultHeartbeat = 200 * time.Millisecond
 	// DefaultPacePerPeer spreads the cost of changes: with more peers messages
 	// become rarer.
-	DefaultPacePerPeer = 1500 * time.Microsecond
+	DefaultPacePerPeer = 600 * time.Microsecond
 	// DefaultExpiry is the silence after which a peer gets messages only with
 	// heartbeats, and is forgotten after forgetAfter.
 	DefaultExpiry = 3 * time.Second
