--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -54,10 +54,10 @@
 	// peerInterval is how often the list of processes is read anew.
 	peerInterval = 30 * time.Second
 	peerTimeout  = 2 * time.Second
-	// serverPace gathers the entries of servers that register one after the
-	// other; it is a quarter of the time in which a leaving server must be known.
-	serverPace  = 500 * time.Millisecond
-	peerBackoff = 300 * time.Millisecond
+	// serverPaceShare is the part of the time in which a leaving server must be
+	// known, in which entries gather that change one after the other.
+	serverPaceShare = 3
+	peerBackoff     = 300 * time.Millisecond
 )
 
 // Options are the inputs of "gateway".
