--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -46,6 +46,8 @@
 	Reservations []Reservation
 	// ReadMS is the reading time of one part.
 	ReadMS float64
+	// AheadMS is the reading that came first on the busiest of the engines.
+	AheadMS float64
 	// Short is set for prompts that are read whole within a pass.
 	Short bool
 	// Reason says in a word what decided.
@@ -303,9 +305,11 @@
 		gap:    r.Gap,
 		memory: need,
 	}
+	p.AheadMS = first.l.ReadMS
 	for _, c := range chosen {
 		if c.s != first.s && len(p.Helpers) < len(chosen)-1 {
 			p.Helpers = append(p.Helpers, c.s.info)
+			p.AheadMS = max(p.AheadMS, c.l.ReadMS)
 		}
 	}
 	if free(first) >= need {
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -396,6 +397,8 @@
 		"helpers", len(s.helpers),
 		"reserved", len(s.plan.Reservations),
 		"part_ms", int(s.plan.ReadMS),
+		"ahead_ms", int(s.plan.AheadMS),
+		"helper_servers", helperIDs(s.plan),
 		"tokens", x.call.Tokens,
 		"reused", s.conn.Reused(),
 		"sends", x.sends,
@@ -403,6 +406,15 @@
 	))
 }
 
+// helperIDs lists the engines that read parts.
+func helperIDs(p pwfleet.Plan) string {
+	ids := make([]string, 0, len(p.Helpers))
+	for _, h := range p.Helpers {
+		ids = append(ids, h.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // hopHeaders concern one connection only.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
