Give long prompts one urgency at the engines

Small prompts also took the room that is meant for prompts whose parts are large.

Change: long prompts share one urgency; only prompts that exceed the usual size of a part on all engines may fill readers further.

--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -401,7 +401,7 @@
 			return chosen, "fewer_engines"
 		}
 	}
-	if chosen = f.heavy(total, all); chosen != nil {
+	if chosen = f.heavy(total, all); chosen != nil && total > f.cfg.PartMS*float64(f.cfg.MaxParts) {
 		return chosen, "heavy"
 	}
 	if !r.Urgent {
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -102,13 +102,22 @@
 	return s.whole(resp)
 }
 
-// urgency ranks requests at an engine: by priority, and short prompts first.
+// Urgencies that engines are told; 0 is the most urgent and 9 the least.
+const (
+	urgencyShort = 1
+	urgencyLong  = 5
+	// maxUrgencySteps bounds what a priority adds for short prompts.
+	maxUrgencySteps = 2
+)
+
+// urgency ranks requests at an engine. Engines starve less urgent reading while
+// more urgent one arrives, so that long prompts share one rank: their priority
+// counts in the queue of this process.
 func urgency(x *exchange, plan pwfleet.Plan) int {
-	u := 1 + 2*min(3, max(0, x.priority[0]))
 	if !plan.Short {
-		u++
+		return urgencyLong
 	}
-	return min(9, u)
+	return urgencyShort + min(maxUrgencySteps, max(0, x.priority[0]))
 }
 
 // safeTimeout is how long a server may be silent to a call that another one
