--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -52,6 +52,8 @@
 	givesUp time.Time
 	granted chan grant
 	waiting bool
+	// blocked is what kept the request waiting when it was looked at last.
+	blocked error
 }
 
 type grant struct {
@@ -315,6 +317,7 @@
 	for _, w := range d.waiting {
 		g := d.try(now, w)
 		if g.err != nil && d.waits(now, w, g.err) {
+			w.blocked = g.err
 			kept = append(kept, w)
 			continue
 		}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -65,6 +65,8 @@
 	eventAt time.Time
 	maxGap  time.Duration
 	waited  time.Duration
+	// blocked is what the request waited for, or nil.
+	blocked error
 	lastErr error
 }
 
@@ -246,6 +248,7 @@
 	}
 	plan, booking, err := x.g.dispatch.acquire(ctx, w)
 	x.waited += time.Since(now)
+	x.blocked = w.blocked
 	return plan, booking, err
 }
 
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -400,7 +400,13 @@
 
 func (s *send) logSent() {
 	x := s.x
+	blocked := ""
+	if x.blocked != nil {
+		blocked = x.blocked.Error()
+	}
 	x.g.obs.Event("sent", x.fields(
+		"waited_ms", x.waited.Milliseconds(),
+		"waited_for", blocked,
 		"backend_server", s.plan.Server.ID,
 		"reason", s.plan.Reason,
 		"helpers", len(s.helpers),
