--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -46,8 +46,6 @@
 	// DefaultHeavyMS bounds it on engines that write nothing, for prompts whose
 	// parts are larger.
 	DefaultHeavyMS = 1500.0
-	// DefaultUrgentMS bounds the parts of a prompt that would be lost otherwise.
-	DefaultUrgentMS = 3000.0
 	// DefaultTightGap, DefaultMediumGap and DefaultLooseGap are the longest pauses
 	// of three kinds of streams: the platform's short, middle and long requests.
 	DefaultTightGap  = 250 * time.Millisecond
@@ -91,7 +89,6 @@
 	GapShare    float64
 	SuspectMS   float64
 	HeavyMS     float64
-	UrgentMS    float64
 	MaxParts    int
 	ShortFill   float64
 	// Draw returns a number in [0, n); the default is random.
@@ -122,7 +119,6 @@
 	orDefault(&cfg.GapShare, DefaultGapShare)
 	orDefault(&cfg.SuspectMS, DefaultSuspectMS)
 	orDefault(&cfg.HeavyMS, DefaultHeavyMS)
-	orDefault(&cfg.UrgentMS, DefaultUrgentMS)
 	orDefault(&cfg.MaxParts, DefaultMaxParts)
 	orDefault(&cfg.ShortFill, DefaultShortFill)
 	orDefault(&cfg.ProcessesPerEngine, DefaultProcessesPerEngine)
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -24,6 +24,9 @@
 	Exclude map[string]bool
 	// Gap is the longest pause between events of a timely answer.
 	Gap time.Duration
+	// Late is set for a request that can no longer be in time. It must not delay
+	// others that can.
+	Late bool
 	// Urgent lifts the bounds that keep engines smooth, for a request that
 	// would otherwise be late anyway.
 	Urgent bool
@@ -389,6 +392,12 @@
 // spread returns the engines over which a prompt is read: as many as make parts
 // of the usual size, more or fewer if those have room, and none if it must wait.
 func (f *Fleet) spread(r Request, total float64, all []candidate) (chosen []candidate, reason string) {
+	if r.Late {
+		all = all[:countBelow(all, tierTight)]
+		if len(all) == 0 {
+			return nil, ""
+		}
+	}
 	most := min(f.cfg.MaxParts, len(all))
 	usual := min(most, int(math.Ceil(total/f.cfg.PartMS)))
 	for k := usual; k <= most; k++ {
@@ -404,14 +413,7 @@
 	if chosen = f.heavy(total, all); chosen != nil && total > f.cfg.PartMS*float64(f.cfg.MaxParts) {
 		return chosen, "heavy"
 	}
-	if !r.Urgent {
-		return nil, ""
-	}
-	lane := all[:min(countBelow(all, tierTight), f.cfg.MaxParts)]
-	if len(lane) == 0 || total/float64(len(lane)) > f.cfg.UrgentMS {
-		return nil, ""
-	}
-	return lane, "urgent"
+	return nil, ""
 }
 
 // heavy places a prompt whose parts fit nowhere: on engines that write nothing,
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -258,6 +258,7 @@
 func (d *dispatcher) try(now time.Time, w *want) grant {
 	req := w.req
 	req.Urgent = now.After(w.urgentAt)
+	req.Late = w.late(now) == 1
 	plan, err := d.fleet.Plan(now, req)
 	if err != nil {
 		return grant{
