--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -46,8 +46,8 @@
 	latest time.Time
 	// start is when the reading must begin for that.
 	start time.Time
-	// urgentAt is when the request goes although engines are busy.
-	urgentAt time.Time
+	// waitsUntil is when it stops waiting for room.
+	waitsUntil time.Time
 	// givesUp is when it stops waiting for a server that may get it.
 	givesUp time.Time
 	granted chan grant
@@ -257,7 +257,7 @@
 // try plans a request and counts its load.
 func (d *dispatcher) try(now time.Time, w *want) grant {
 	req := w.req
-	req.Urgent = now.After(w.urgentAt)
+	req.Urgent = now.After(w.waitsUntil)
 	req.Late = w.late(now) == 1
 	plan, err := d.fleet.Plan(now, req)
 	if err != nil {
@@ -275,7 +275,7 @@
 func (d *dispatcher) waits(now time.Time, w *want, err error) bool {
 	switch pwverdict.CauseOf(err) {
 	case pwverdict.CausePrefillBusy, pwverdict.CauseMemoryFull, pwverdict.CauseConcurrencyFull:
-		return now.Before(w.latest)
+		return now.Before(w.latest) && (w.short || now.Before(w.waitsUntil))
 	case pwverdict.CauseNoCandidate:
 		return now.Before(w.givesUp)
 	default:
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -228,12 +228,12 @@
 			Exclude:    x.tried,
 			Gap:        x.route.TargetGap,
 		},
-		priority: x.priority,
-		arrived:  x.arrived,
-		aim:      x.arrived.Add(x.route.Target),
-		latest:   x.deadline,
-		givesUp:  x.arrived.Add(time.Duration(x.g.cfg.Policy.NoServerShare * float64(x.route.Target))),
-		urgentAt: x.deadline,
+		priority:   x.priority,
+		arrived:    x.arrived,
+		aim:        x.arrived.Add(x.route.Target),
+		latest:     x.deadline,
+		givesUp:    x.arrived.Add(time.Duration(x.g.cfg.Policy.NoServerShare * float64(x.route.Target))),
+		waitsUntil: x.deadline,
 	}
 	if x.route.Kind == pwcatalog.Streaming {
 		abandon := x.g.cfg.Policy.abandon(x.route)
@@ -244,7 +244,7 @@
 		if latest := from.Add(abandon); latest.Before(w.latest) {
 			w.latest = latest
 		}
-		w.urgentAt = from.Add(time.Duration(x.g.cfg.Policy.UrgentShare * float64(abandon)))
+		w.waitsUntil = from.Add(time.Duration(x.g.cfg.Policy.WaitShare * float64(abandon)))
 	}
 	plan, booking, err := x.g.dispatch.acquire(ctx, w)
 	x.waited += time.Since(now)
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -33,9 +33,10 @@
 	// NoServerShare is the part of the target that a request waits while no
 	// server may get it.
 	NoServerShare float64
-	// UrgentShare is the part of the abandon time after which a waiting request
-	// is sent although engines are busy.
-	UrgentShare float64
+	// WaitShare is the part of the abandon time that a request waits for room.
+	// Afterwards a short one goes to the least busy engine, and a long one is
+	// refused while there is time to come back.
+	WaitShare float64
 }
 
 func (p Policy) withDefaults() Policy {
@@ -53,7 +54,7 @@
 	def(&p.BusyStallShare, 0.9)
 	def(&p.SafeTimeoutTargets, 1.6)
 	def(&p.NoServerShare, 0.125) // held longer, a refusal costs the caller its return
-	def(&p.UrgentShare, 0.7)
+	def(&p.WaitShare, 0.35)
 	if p.MaxRejections <= 0 {
 		p.MaxRejections = 6
 	}
