--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -87,7 +87,10 @@
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(d.MemoryBytes)))
 	out := pwobserve.NewAsyncWriter(env.Out, pwobserve.DefaultLines)
-	defer out.Close()
+	defer func() {
+		// Close only flushes; lines that can't be written are counted.
+		_ = out.Close()
+	}()
 	p := &process{
 		deployment: d,
 		path:       path,
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -285,7 +285,7 @@
 				}
 			}
 		}
-		ranked := append(f.ranked[info.Service], s)
+		ranked := append(slices.Clone(f.ranked[info.Service]), s)
 		slices.SortFunc(ranked, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
 		f.ranked[info.Service] = ranked
 	} else if s.info.Born != info.Born || s.info.Address != info.Address {
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -75,7 +75,8 @@
 	x.sends++
 	s.dog = s.watch()
 	defer s.dog.stop()
-	resp, err := conn.Do(ctx, &pwupstream.Request{
+	// Closing a body would read the rest of it; the connection is closed or released instead.
+	resp, err := conn.Do(ctx, &pwupstream.Request{ //nolint:bodyclose
 		Method: x.r.Method,
 		Target: x.r.RequestURI,
 		Host:   x.r.Host,
@@ -85,7 +86,7 @@
 	if err != nil {
 		return s.broken(err)
 	}
-	resp, answer, err := s.match(resp)
+	resp, answer, err := s.match(resp) //nolint:bodyclose
 	if err != nil {
 		return s.broken(err)
 	}
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -164,7 +164,10 @@
 
 // Run exchanges messages until ctx ends.
 func (x *Exchange) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { x.conn.Close() })
+	stop := context.AfterFunc(ctx, func() {
+		// Closing ends the receiver; nothing is lost with the socket.
+		_ = x.conn.Close()
+	})
 	defer stop()
 	done := make(chan struct{})
 	go x.loopReceive(ctx, done)
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -285,7 +285,7 @@
 // Do sends a request and returns the head of the answer. The end of ctx closes
 // the connection until Release or Close. Its errors are MayHaveRun.
 func (c *Conn) Do(ctx context.Context, req *Request) (*http.Response, error) {
-	c.stop = context.AfterFunc(ctx, func() { c.c.Close() })
+	c.stop = context.AfterFunc(ctx, c.Abort)
 	c.written = make(chan struct{})
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := c.c.SetWriteDeadline(deadline); err != nil {
