Test the placement of prompts against a model of engines that work in passes

Cause: a property test of the new fleet found 7e-15 ms of reading left over after three bookings, so that idle servers stayed in the messages to peers.

Change: loads are rounded to values whose sums are exact.

--- /dev/null
+++ b/internal/core/pwcatalog/catalog_test.go
@@ -0,0 +1,96 @@
+package pwcatalog
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// naiveRoute finds the longest prefix that begins the path.
+func naiveRoute(routes []Route, host, path string) string {
+	best, name := -1, ""
+	for _, r := range routes {
+		if strings.EqualFold(r.Host, host) && strings.HasPrefix(path, r.Prefix) && len(r.Prefix) > best {
+			best, name = len(r.Prefix), r.Name
+		}
+	}
+	return name
+}
+
+func TestRouteAgreesWithLongestPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		segment := rapid.SampledFrom([]string{"a", "b", "a2", ""})
+		path := func(label string) string {
+			return "/" + strings.Join(rapid.SliceOfN(segment, 0, 4).Draw(t, label), "/")
+		}
+		host := rapid.SampledFrom([]string{"one.example", "two.example"})
+		var routes []Route
+		seen := make(map[string]bool)
+		for i := range rapid.IntRange(0, 8).Draw(t, "routes") {
+			r := Route{
+				Name:   string(rune('a' + i)),
+				Host:   host.Draw(t, "host"),
+				Prefix: strings.TrimSuffix(path("prefix"), "/") + "/",
+			}
+			if !seen[r.Host+r.Prefix] {
+				routes = append(routes, r)
+			}
+			seen[r.Host+r.Prefix] = true
+		}
+		c := New(Spec{
+			Routes: routes,
+		})
+		h, p := host.Draw(t, "asked host"), path("asked path")
+		want := naiveRoute(routes, h, p)
+		got, ok := c.Route(strings.ToUpper(h)+":8080", p)
+		if ok != (want != "") || ok && got.Name != want {
+			t.Fatalf("Route(%q, %q) is %v, %t, want %q", h, p, got, ok, want)
+		}
+	})
+}
+
+func TestPickShareFollowsWeights(t *testing.T) {
+	r := Route{
+		Shares: []Share{
+			{
+				Service: "old",
+				Weight:  90,
+			},
+			{
+				Service: "new",
+				Weight:  10,
+			},
+			{
+				Service: "none",
+			},
+		},
+	}
+	counts := make(map[string]int)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	for range 10_000 {
+		counts[r.PickShare(rnd.Float64())]++
+	}
+	if counts["none"] != 0 || counts["new"] < 800 || counts["new"] > 1200 {
+		t.Errorf("counts %v, want about 9000 and 1000", counts)
+	}
+	if got := (&Route{}).PickShare(0.5); got != "" {
+		t.Errorf("a route without services gives %q", got)
+	}
+}
+
+func TestUnknownKindsAreNeverRepeated(t *testing.T) {
+	var r Route
+	if r.Repeatable() {
+		t.Error("a route without a kind is repeatable")
+	}
+	r.Kind = Streaming
+	if r.Repeatable() {
+		t.Error("a stream that can't be resumed is repeatable")
+	}
+	r.Resumable = true
+	if !r.Repeatable() {
+		t.Error("a stream that can be resumed is not repeatable")
+	}
+}
--- /dev/null
+++ b/internal/core/pwcatalog/main_test.go
@@ -0,0 +1,5 @@
+package pwcatalog
+
+import "github.com/pomeloweir/pomeloweir/internal/fake/pwscript"
+
+func init() { pwscript.FixSeed() }
--- /dev/null
+++ b/internal/core/pwcost/cost_test.go
@@ -0,0 +1,62 @@
+package pwcost
+
+import (
+	"math"
+	"testing"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+)
+
+var engine = pwcatalog.Engine{
+	Slots:           16,
+	StepMS:          1.02,
+	WriterMS:        0.00226,
+	ContextMSPerK:   0.00431,
+	ReadTokensPerMS: 206,
+	PairsMSPerM:     0.138,
+	Stride:          43,
+}
+
+// naiveRead counts the pairs of a prompt chunk by chunk, as an engine reads it.
+func naiveRead(tokens int64) float64 {
+	const chunk = 16
+	ms := 0.0
+	for read := int64(0); read < tokens; read += chunk {
+		n := min(chunk, tokens-read)
+		pairs := float64(n)*float64(read) + float64(n)*float64(n)/2
+		ms += float64(n)/engine.ReadTokensPerMS + pairs/1e6*engine.PairsMSPerM
+	}
+	return ms
+}
+
+func TestReadAgreesWithChunks(t *testing.T) {
+	m := New(engine)
+	for _, tokens := range []int64{0, 1, 40, 1_000, 5_000, 45_000, 133_000, 600_000, 1_000_000} {
+		if got, want := m.Read(tokens), naiveRead(tokens); math.Abs(got-want) > 1e-6*want+1e-9 {
+			t.Errorf("Read(%d) = %g ms, by chunks %g ms", tokens, got, want)
+		}
+	}
+}
+
+func TestPartsAddUp(t *testing.T) {
+	m := New(engine)
+	for _, engines := range []int{1, 2, 17} {
+		if got, want := m.Part(133_000, engines)*float64(engines), m.Read(133_000); math.Abs(got-want) > 1e-9 {
+			t.Errorf("%d parts add up to %g ms, the whole takes %g ms", engines, got, want)
+		}
+	}
+	if got, want := m.Part(5_000, 0), m.Read(5_000); got != want {
+		t.Errorf("no engine reads in %g ms, want %g", got, want)
+	}
+}
+
+func TestPassGrowsWithWhatItHolds(t *testing.T) {
+	m := New(engine)
+	empty := m.Pass(0, 0, 0)
+	if want := 43 * 1.02; math.Abs(empty-want) > 1e-9 {
+		t.Errorf("an empty pass takes %g ms, want %g", empty, want)
+	}
+	if m.Pass(1, 0, 0) <= empty || m.Pass(0, 5_000, 0) <= empty || m.Pass(0, 0, 100) != empty+100 {
+		t.Error("a pass must grow with writers, their context, and what is read")
+	}
+}
--- /dev/null
+++ b/internal/core/pwfleet/fleet_test.go
@@ -0,0 +1,372 @@
+package pwfleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+)
+
+var testEngine = pwcatalog.Engine{
+	Slots:           16,
+	MemoryTokens:    232_000,
+	StepMS:          1.02,
+	WriterMS:        0.00226,
+	ContextMSPerK:   0.00431,
+	ReadTokensPerMS: 206,
+	PairsMSPerM:     0.138,
+	ChunkTokens:     2048,
+	Stride:          43,
+	HopMS:           0.075,
+}
+
+var start = time.Date(2026, 12, 4, 7, 0, 0, 0, time.UTC)
+
+// newTestFleet returns a fleet with engines "e-0" and on, and servers of a
+// plain service "d-0" to "d-2".
+func newTestFleet(engines int) *Fleet {
+	f := New(Config{
+		Draw: func(int) int { return 0 },
+	})
+	f.Configure([]pwcatalog.Service{
+		{
+			Name:          "model",
+			Engine:        &testEngine,
+			ColdPerSecond: 36,
+		},
+		{
+			Name: "desk",
+		},
+	})
+	for i := range engines {
+		f.Upsert(start, listed(fmt.Sprintf("e-%d", i), "model", "hakata"))
+	}
+	for i, dc := range []string{"hakata", "dazaifu", "kurume"} {
+		f.Upsert(start, listed(fmt.Sprintf("d-%d", i), "desk", dc))
+	}
+	return f
+}
+
+func listed(id, service, dataCentre string) pwcatalog.BackendServer {
+	return pwcatalog.BackendServer{
+		ID:         id,
+		Service:    service,
+		Address:    id,
+		DataCentre: dataCentre,
+		Born:       1,
+	}
+}
+
+func short() Request {
+	return Request{
+		Service: "model",
+		Tokens:  5_000,
+		Output:  1_400,
+		Gap:     250 * time.Millisecond,
+	}
+}
+
+func long(tokens int64) Request {
+	return Request{
+		Service: "model",
+		Tokens:  tokens,
+		Output:  700,
+		Gap:     time.Second,
+	}
+}
+
+func mustPlan(t *testing.T, f *Fleet, r Request) Plan {
+	t.Helper()
+	p, err := f.Plan(start, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestShortPromptsArePacked(t *testing.T) {
+	f := newTestFleet(20)
+	used := make(map[string]bool)
+	for range 24 {
+		p := mustPlan(t, f, short())
+		used[p.Server.ID] = true
+		b := f.Start(start, p)
+		b.FirstToken()
+	}
+	if len(used) != 2 {
+		t.Errorf("24 short answers are written by %d engines, want 2 of 12 each", len(used))
+	}
+}
+
+func TestLongPromptsAvoidShortAnswers(t *testing.T) {
+	f := newTestFleet(20)
+	busy := make(map[string]bool)
+	for range 24 {
+		p := mustPlan(t, f, short())
+		busy[p.Server.ID] = true
+		f.Start(start, p)
+	}
+	p := mustPlan(t, f, long(133_000))
+	if len(p.Helpers) < 8 {
+		t.Errorf("%d helpers, want parts of at most %g ms", len(p.Helpers), DefaultPartMS)
+	}
+	for _, h := range p.Helpers {
+		if busy[h.ID] {
+			t.Errorf("%s writes short answers and reads a part of %.0f ms", h.ID, p.ReadMS)
+		}
+	}
+}
+
+// A part beside short answers must leave their pauses under 250 ms.
+func TestPartsFitIntoThePauseOfShortAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newTestFleet(rapid.IntRange(1, 24).Draw(t, "engines"))
+		for range rapid.IntRange(0, 120).Draw(t, "shorts") {
+			if p, err := f.Plan(start, short()); err == nil {
+				f.Start(start, p).FirstToken()
+			}
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "longs") {
+			r := long(rapid.Int64Range(30_000, 600_000).Draw(t, "tokens"))
+			p, err := f.Plan(start, r)
+			if err != nil {
+				continue
+			}
+			f.Start(start, p)
+			for _, s := range append([]pwcatalog.BackendServer{p.Server}, p.Helpers...) {
+				l := f.servers[s.ID].load()
+				if l.Tight == 0 {
+					continue
+				}
+				if pass := f.models["model"].Pass(l.Requests, l.Memory, l.ReadMS); pass > 250 {
+					t.Fatalf("%s: a pass of %.0f ms with %d short answers after a prompt of %d tokens (%s)", s.ID, pass, l.Tight, r.Tokens, p.Reason)
+				}
+			}
+		}
+	})
+}
+
+func TestPromptBeyondOneEngineIsReservedWhole(t *testing.T) {
+	f := newTestFleet(20)
+	r := long(400_000)
+	p := mustPlan(t, f, r)
+	if len(p.Reservations) == 0 || p.Reservations[0].Server.ID != p.Server.ID {
+		t.Fatalf("reservations %v, want the first engine's first", p.Reservations)
+	}
+	sum, entries := int64(0), 0
+	for i, res := range p.Reservations {
+		sum += res.Tokens
+		if i > 0 && res.Server.ID != p.Helpers[i-1].ID {
+			t.Errorf("reservation %d is at %s, the helper is %s", i, res.Server.ID, p.Helpers[i-1].ID)
+		}
+		if i > 0 || res.Tokens > 0 {
+			entries++
+		}
+		if res.Tokens > testEngine.MemoryTokens {
+			t.Errorf("%d tokens at %s exceed its memory", res.Tokens, res.Server.ID)
+		}
+	}
+	if sum < r.Tokens+r.Output || entries > 16 {
+		t.Errorf("%d tokens in %d entries, want %d in at most 16", sum, entries, r.Tokens+r.Output)
+	}
+}
+
+func TestPromptWaitsWhenNoEngineHasRoom(t *testing.T) {
+	f := newTestFleet(4)
+	var err error
+	for n := 0; err == nil; n++ {
+		if n > 100 {
+			t.Fatal("no end to the room")
+		}
+		var p Plan
+		if p, err = f.Plan(start, long(100_000)); err == nil {
+			f.Start(start, p)
+		}
+	}
+	if c := pwverdict.CauseOf(err); c != pwverdict.CausePrefillBusy || pwverdict.Of(err) != pwverdict.NotRun {
+		t.Errorf("refused with %v", err)
+	}
+}
+
+// The load of a short burst: late prompts leave engines with short answers alone.
+func TestLatePromptsLeaveShortAnswersAlone(t *testing.T) {
+	f := newTestFleet(4)
+	for range 64 {
+		if p, err := f.Plan(start, short()); err == nil {
+			f.Start(start, p).FirstToken()
+		}
+	}
+	r := long(60_000)
+	r.Late = true
+	if p, err := f.Plan(start, r); err == nil {
+		t.Errorf("a late prompt goes to %s and %d helpers", p.Server.ID, len(p.Helpers))
+	}
+}
+
+func TestServersThatGetNothing(t *testing.T) {
+	for name, change := range map[string]func(f *Fleet){
+		"draining": func(f *Fleet) {
+			s := listed("d-0", "desk", "hakata")
+			s.Draining = true
+			f.Upsert(start, s)
+		},
+		"evacuated": func(f *Fleet) { f.SetEvacuated("hakata", true) },
+		"removed":   func(f *Fleet) { f.Remove("d-0") },
+		"gone":      func(f *Fleet) { f.Gone("d-0") },
+		"suspect":   func(f *Fleet) { f.Failed(start, "d-0") },
+		"full":      func(f *Fleet) { f.Full(start, "d-0") },
+		"moved": func(f *Fleet) {
+			f.Upsert(start, listed("d-0", "model", "hakata"))
+		},
+	} {
+		f := newTestFleet(0)
+		r := Request{
+			Service:    "desk",
+			DataCentre: "hakata",
+		}
+		if p := mustPlan(t, f, r); p.Server.ID != "d-0" {
+			t.Fatalf("%s: at first %s, want the nearest", name, p.Server.ID)
+		}
+		change(f)
+		for range 20 {
+			p := mustPlan(t, f, r)
+			if p.Server.ID == "d-0" {
+				t.Errorf("%s: d-0 still gets work", name)
+				break
+			}
+			f.Start(start, p)
+		}
+	}
+}
+
+func TestReturningServersGetWork(t *testing.T) {
+	f := newTestFleet(0)
+	r := Request{
+		Service:    "desk",
+		DataCentre: "hakata",
+	}
+	f.Gone("d-0")
+	f.SetEvacuated("hakata", true)
+	f.SetEvacuated("hakata", false)
+	again := listed("d-0", "desk", "hakata")
+	again.Born = 2
+	f.Upsert(start, again)
+	if p := mustPlan(t, f, r); p.Server.ID != "d-0" {
+		t.Errorf("%s gets the work, want the new incarnation", p.Server.ID)
+	}
+}
+
+func TestLapsedEntryNamesAServerForAWhile(t *testing.T) {
+	f := newTestFleet(0)
+	f.Remove("d-1")
+	f.Remove("d-2")
+	r := Request{
+		Service: "desk",
+	}
+	f.Lapse(start, "d-0")
+	if _, err := f.Plan(start.Add(DefaultReturnWindow), r); err != nil {
+		t.Errorf("within the window: %v", err)
+	}
+	if _, err := f.Plan(start.Add(DefaultReturnWindow+time.Millisecond), r); err == nil {
+		t.Error("an entry that did not come back still names a server")
+	}
+	f.Upsert(start, listed("d-0", "desk", "hakata"))
+	if _, err := f.Plan(start.Add(time.Hour), r); err != nil {
+		t.Errorf("after its return: %v", err)
+	}
+}
+
+// All processes together must keep a cold server's rate.
+func TestColdServersShareTheirRate(t *testing.T) {
+	const processes, seconds = 4, 3
+	sent := 0
+	for i := range processes {
+		f := newTestFleet(0)
+		cold := listed("e-0", "model", "hakata")
+		cold.ColdFor = time.Minute
+		f.Upsert(start, cold)
+		for p := range processes {
+			if p != i {
+				f.MergePeer(start, fmt.Sprint(p), nil)
+			}
+		}
+		for ms := range seconds * 1000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if p, err := f.Plan(now, short()); err == nil {
+				f.Start(now, p).End()
+				sent++
+			}
+		}
+	}
+	if limit := int(36 * 1.5 * seconds); sent > limit || sent < 36*seconds/2 {
+		t.Errorf("%d requests in %d s, want about %d and at most %d", sent, seconds, 36*seconds, limit)
+	}
+}
+
+func TestPeerLoadCounts(t *testing.T) {
+	f := newTestFleet(0)
+	load := func(n int) []ServerLoad {
+		return []ServerLoad{{
+			Server: Hash("d-0"),
+			Load: Load{
+				Requests: n,
+			},
+		}}
+	}
+	r := Request{
+		Service:    "desk",
+		DataCentre: "hakata",
+	}
+	f.MergePeer(start, "front-2", load(3))
+	f.MergePeer(start, "front-2", load(2))
+	if got := f.servers["d-0"].load().Requests; got != 2 {
+		t.Errorf("%d requests after a repeated message, want 2", got)
+	}
+	if p := mustPlan(t, f, r); p.Server.ID == "d-0" {
+		t.Error("the busiest server gets the work")
+	}
+	f.ExpirePeers(start.Add(DefaultPeerExpiry + time.Millisecond))
+	if got := f.servers["d-0"].load().Requests; got != 0 || f.Processes() != 1 {
+		t.Errorf("%d requests and %d processes after the peer fell silent", got, f.Processes())
+	}
+}
+
+// Whatever happens, the load of ended requests is given back whole.
+func TestBookingsGiveBackAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newTestFleet(rapid.IntRange(1, 20).Draw(t, "engines"))
+		var live []*Booking
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				r := short()
+				if rapid.Bool().Draw(t, "long") {
+					r = long(rapid.Int64Range(20_000, 700_000).Draw(t, "tokens"))
+				}
+				if p, err := f.Plan(start, r); err == nil {
+					live = append(live, f.Start(start, p))
+				}
+			case 1:
+				if len(live) > 0 {
+					live[rapid.IntRange(0, len(live)-1).Draw(t, "read")].FirstToken()
+				}
+			case 2:
+				if len(live) > 0 {
+					live[rapid.IntRange(0, len(live)-1).Draw(t, "end")].End()
+				}
+			default:
+				f.Upsert(start, listed("e-0", "model", "hakata"))
+			}
+		}
+		for _, b := range live {
+			b.End()
+		}
+		if loads := f.OwnLoads(); len(loads) != 0 {
+			t.Fatalf("left over: %+v", loads)
+		}
+	})
+}
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -508,6 +508,9 @@
 
 func roundUp(n, block int64) int64 { return (n + block - 1) / block * block }
 
+// loadGrains is the number of steps to which a millisecond of load is rounded.
+const loadGrains = 1024
+
 // Booking is the load of one request until it ends.
 type Booking struct {
 	f     *Fleet
@@ -526,8 +529,10 @@
 	b := &Booking{
 		f: f,
 	}
+	// Sums of such values are exact, so that nothing is left over at the end.
+	part := math.Round(p.ReadMS*loadGrains) / loadGrains
 	l := Load{
-		ReadMS:   p.ReadMS,
+		ReadMS:   part,
 		Requests: 1,
 		Memory:   p.memory,
 	}
@@ -541,7 +546,7 @@
 	b.add(p.Server.ID, l)
 	for i, h := range p.Helpers {
 		hl := Load{
-			ReadMS: p.ReadMS,
+			ReadMS: part,
 		}
 		if i+1 < len(p.Reservations) {
 			hl.Memory = p.Reservations[i+1].Tokens
