--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -168,6 +168,7 @@
 		case errors.Is(err, ErrCompacted):
 			f.obs.Info("store history lost", "table", f.cfg.Name)
 			f.listed = false
+			pause(ctx, f.cfg.MinBackoff)
 			continue
 		case ctx.Err() != nil:
 			return
