--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -63,6 +63,7 @@
 // Options are the inputs of "gateway".
 type Options struct {
 	Settings string `help:"Path of the platform's settings file; the platform names it by default." placeholder:"FILE"`
+	Tuning   string `help:"Path of a JSON file with settings of pomeloweir's own; see docs/OPERATIONS.md." placeholder:"FILE"`
 	Check    bool   `help:"Check the settings and stop."`
 }
 
@@ -81,6 +82,10 @@
 	if err != nil {
 		return err
 	}
+	tuning, err := LoadTuning(o.Tuning)
+	if err != nil {
+		return err
+	}
 	if o.Check {
 		_, err := fmt.Fprintln(env.Out, "The settings are valid.")
 		return err
@@ -96,7 +101,9 @@
 		path:       path,
 		obs:        pwobserve.New(out, pwrequest.InstanceID(d.Instance), pwrequest.DataCentre(d.DataCentre)),
 		out:        out,
+		tuning:     tuning,
 	}
+	p.obs.SetBusy(func() bool { return !tuning.LogRequests || out.Busy() })
 	return p.run(ctx)
 }
 
@@ -106,6 +113,7 @@
 	path       string
 	obs        *pwobserve.Observer
 	out        *pwobserve.AsyncWriter
+	tuning     Tuning
 	gateway    *pwgateway.Gateway
 	exchange   *pwpeering.Exchange
 	operator   *pwcontrol.Follower[pwcontrol.OperatorRow]
@@ -131,6 +139,8 @@
 		Deployment: d,
 		Codec:      platform.NewCodec(),
 		Engines:    platform.NewEngines(),
+		Fleet:      p.tuning.fleet(),
+		Policy:     p.tuning.policy(),
 	}, p.obs)
 	p.operator = pwcontrol.NewFollower(platform.NewOperatorTable(client), pwcontrol.Config{
 		Name: "operator",
--- /dev/null
+++ b/internal/cli/pwgatewaycommand/tuning_test.go
@@ -0,0 +1,29 @@
+package pwgatewaycommand
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestTuning(t *testing.T) {
+	got, err := ParseTuning([]byte(`{"part_ms":120,"log_requests":false}`))
+	if err != nil || got.PartMS != 120 || got.LogRequests {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if got, err := ParseTuning([]byte(`{}`)); err != nil || !got.LogRequests {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for text, want := range map[string]string{
+		`{"part_ms":-1}`:                      "part_ms is -1; it must be from 0 to 60000",
+		`{"short_fill":2}`:                    "short_fill is 2; it must be from 0 to 1",
+		`{"part":1}`:                          `unknown field "part"`,
+		`{"part_ms":"much"}`:                  "part_ms",
+		`{} {}`:                               "behind its end",
+		`{"max_waiting":2e7}`:                 "max_waiting",
+		strings.Repeat(" ", maxTuningBytes+1): "are allowed",
+	} {
+		if _, err := ParseTuning([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%.30s: %v, want %q", text, err, want)
+		}
+	}
+}
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -202,9 +202,17 @@
 		d.mu.Unlock()
 		return pwfleet.Plan{}, nil, err
 	}
+	waiting := len(d.waiting)
 	d.schedule(now)
 	d.mu.Unlock()
 	d.signal()
+	d.obs.Routine("queued", log.Fields{
+		"request": w.id,
+		"tokens":  w.req.Tokens,
+		"service": w.req.Service,
+		"waiting": waiting,
+		"due_ms":  w.aim.Sub(now).Milliseconds(),
+	})
 	select {
 	case g := <-w.granted:
 		d.changed(g)
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -376,6 +376,10 @@
 		f["verdict"] = pwverdict.Of(err).String()
 		f["error"] = err.Error()
 	}
+	if err == nil && status < http.StatusInternalServerError {
+		x.g.obs.Routine(event, f)
+		return
+	}
 	x.g.obs.Event(event, f)
 }
 
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -233,6 +233,11 @@
 		}
 		g.pool.CloseExpired()
 		g.dispatch.maintain(time.Now())
+		if n := g.obs.LeftOut(); n > 0 {
+			g.obs.Event("lines_left_out", log.Fields{
+				"count": n,
+			})
+		}
 	}
 }
 
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -405,7 +405,7 @@
 	if x.blocked != nil {
 		blocked = x.blocked.Error()
 	}
-	x.g.obs.Event("sent", x.fields(
+	x.g.obs.Routine("sent", x.fields(
 		"waited_ms", x.waited.Milliseconds(),
 		"waited_for", blocked,
 		"backend_server", s.plan.Server.ID,
--- a/internal/node/pwobserve/observe.go
+++ b/internal/node/pwobserve/observe.go
@@ -20,6 +20,7 @@
 	"io"
 	"regexp"
 	"sort"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -34,6 +35,9 @@
 type Observer struct {
 	logger   *log.Entry
 	registry metrics.Registry
+	// busy reports whether lines about ordinary requests must be left out.
+	busy    func() bool
+	leftOut atomic.Int64
 }
 
 // New returns an observer that writes JSON lines to w.
@@ -48,9 +52,28 @@
 			"data_centre": dc,
 		}),
 		registry: metrics.NewRegistry(),
+		busy:     func() bool { return false },
 	}
 }
 
+// SetBusy sets the function that says when lines about ordinary requests are
+// left out, so that those about failures find room.
+func (o *Observer) SetBusy(busy func() bool) { o.busy = busy }
+
+// Routine writes and counts like Event, but leaves the line out when the log is
+// busy. LeftOut says how many were.
+func (o *Observer) Routine(msg string, f log.Fields) {
+	if o.busy() {
+		o.leftOut.Add(1)
+		o.Count("events_"+msg, 1)
+		return
+	}
+	o.Event(msg, f)
+}
+
+// LeftOut returns the number of lines left out since the last call.
+func (o *Observer) LeftOut() int64 { return o.leftOut.Swap(0) }
+
 // Discard returns an observer that writes no log lines, for tests.
 func Discard() *Observer {
 	o := New(io.Discard, "", "")
--- a/internal/node/pwobserve/writer.go
+++ b/internal/node/pwobserve/writer.go
@@ -42,6 +42,9 @@
 	return len(line), nil
 }
 
+// Busy reports whether more than half of the buffer is taken.
+func (w *AsyncWriter) Busy() bool { return len(w.lines) > cap(w.lines)/2 }
+
 // Dropped returns the number of lines that were dropped.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
