--- a/internal/cli/pwrequest/request.go
+++ b/internal/cli/pwrequest/request.go
@@ -20,8 +20,9 @@
 
 // Command is the group.
 type Command struct {
-	View   ViewOptions   `cmd:"" aliases:"show" help:"View the state of a request of any workspace."`
-	Cancel CancelOptions `cmd:"" aliases:"stop" help:"Cancel a request of a service of your own team."`
+	View    ViewOptions    `cmd:"" aliases:"show" help:"View the state of a request of any workspace."`
+	Cancel  CancelOptions  `cmd:"" aliases:"stop" help:"Cancel a request of a service of your own team."`
+	Explain ExplainOptions `cmd:"" aliases:"why" help:"Say from logs why a request ended as it did."`
 }
 
 // ViewOptions are the inputs of "request view".
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -70,6 +70,9 @@
 	// no work after it failed.
 	DefaultMinSuspect = 400 * time.Millisecond
 	DefaultMaxSuspect = 4 * time.Second
+	// DefaultNoHelpPause is the time that an engine reads no parts after it
+	// refused one; a leaving server is gone by then.
+	DefaultNoHelpPause = 2 * time.Second
 	// DefaultFullPause is the time that a server gets no work after it was full.
 	DefaultFullPause = 60 * time.Millisecond
 )
@@ -94,6 +97,7 @@
 	PeerExpiry         time.Duration
 	MinSuspect         time.Duration
 	MaxSuspect         time.Duration
+	NoHelpPause        time.Duration
 	FullPause          time.Duration
 }
 
@@ -124,6 +128,7 @@
 	orDefault(&cfg.PeerExpiry, DefaultPeerExpiry)
 	orDefault(&cfg.MinSuspect, DefaultMinSuspect)
 	orDefault(&cfg.MaxSuspect, DefaultMaxSuspect)
+	orDefault(&cfg.NoHelpPause, DefaultNoHelpPause)
 	orDefault(&cfg.FullPause, DefaultFullPause)
 	return cfg
 }
@@ -174,6 +179,7 @@
 	suspectUntil time.Time
 	fullUntil    time.Time
 	heardAt      time.Time
+	noHelpUntil  time.Time
 	// lapsesAt is when a lapsed entry stops naming the server; zero if it is listed.
 	lapsesAt time.Time
 	gone     bool
@@ -432,6 +438,14 @@
 	}
 }
 
+// RefusesHelp notes that an engine would not read a part of a prompt: it is
+// leaving, as the store will tell, or helps too many others.
+func (f *Fleet) RefusesHelp(now time.Time, id string) {
+	if s := f.servers[id]; s != nil {
+		s.noHelpUntil = now.Add(f.cfg.NoHelpPause)
+	}
+}
+
 // Gone notes that another server answers at the address. It gets no work until
 // its entry changes.
 func (f *Fleet) Gone(id string) {
--- a/internal/core/pwfleet/fleet_test.go
+++ b/internal/core/pwfleet/fleet_test.go
@@ -371,3 +371,19 @@
 		}
 	})
 }
+
+// While the store is away, leaving engines are known only by their refusals.
+func TestEngineThatRefusesHelpReadsNoParts(t *testing.T) {
+	f := newTestFleet(20)
+	first := mustPlan(t, f, long(133_000))
+	refusing := first.Helpers[0].ID
+	f.RefusesHelp(start, refusing)
+	for _, h := range mustPlan(t, f, long(133_000)).Helpers {
+		if h.ID == refusing {
+			t.Errorf("%s is asked again", refusing)
+		}
+	}
+	if p, err := f.Plan(start.Add(DefaultNoHelpPause), long(133_000)); err != nil || len(p.Helpers) != len(first.Helpers) {
+		t.Errorf("later: %d helpers, %v", len(p.Helpers), err)
+	}
+}
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -182,7 +182,7 @@
 	case m.Read(r.Tokens) <= f.cfg.ShortReadMS:
 		return f.planShort(r, m, cands)
 	default:
-		return f.planLong(r, m, cands)
+		return f.planLong(now, r, m, cands)
 	}
 }
 
@@ -272,10 +272,10 @@
 // planLong spreads the reading of a long prompt over engines that have room.
 // Engines that write nothing read most of it, and the answer is written where
 // other answers are, so that few engines must keep their pauses short.
-func (f *Fleet) planLong(r Request, m pwcost.Model, cands []*server) (Plan, error) {
+func (f *Fleet) planLong(now time.Time, r Request, m pwcost.Model, cands []*server) (Plan, error) {
 	total := m.Read(r.Tokens)
 	need := r.Tokens + r.Output
-	all := f.withRoom(m, cands)
+	all := f.withRoom(now, m, cands)
 	if len(all) == 0 {
 		return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CauseConcurrencyFull, "all slots of %q are taken", r.Service)
 	}
@@ -335,11 +335,11 @@
 
 // withRoom returns the engines with a free slot: those that write nothing
 // first, and among equals those with the least reading.
-func (f *Fleet) withRoom(m pwcost.Model, cands []*server) []candidate {
+func (f *Fleet) withRoom(now time.Time, m pwcost.Model, cands []*server) []candidate {
 	var all []candidate
 	for _, s := range cands {
 		l := s.load()
-		if l.Requests >= m.Engine().Slots {
+		if l.Requests >= m.Engine().Slots || now.Before(s.noHelpUntil) {
 			continue
 		}
 		tier, allowance := f.allowance(m, l)
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -56,7 +56,8 @@
 	def(&p.NoServerShare, 0.125) // held longer, a refusal costs the caller its return
 	def(&p.WaitShare, 0.35)
 	if p.MaxRejections <= 0 {
-		p.MaxRejections = 6
+		// Each one tells of one server that is leaving while the store is away.
+		p.MaxRejections = 12
 	}
 	if p.MaxWaiting <= 0 {
 		p.MaxWaiting = 2000
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -168,13 +168,17 @@
 		case a.Misdirected:
 			f.Gone(fault)
 		case fault != s.plan.Server.ID:
-			f.Failed(now, fault)
+			f.RefusesHelp(now, fault)
 		default:
 			f.Full(now, fault)
 		}
 	})
 	x.rejections++
-	err := pwverdict.New(pwverdict.NotRun, pwverdict.CauseMemoryFull, "%s rejected the request with %d", fault, resp.StatusCode)
+	cause := pwverdict.CauseMemoryFull
+	if fault != s.plan.Server.ID {
+		cause = pwverdict.CauseUnavailable
+	}
+	err := pwverdict.New(pwverdict.NotRun, cause, "%s rejected the request with %d", fault, resp.StatusCode)
 	return x.rejections < x.g.cfg.Policy.MaxRejections, err
 }
 
