Take servers for gone whose address answers orders as another one

Change: an order that another server answers marks the server as gone; one that gets no answer makes it suspect.

Measured: TestReservationAvoidsServersThatAreGone fails without the change and passes with it.

--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -88,7 +88,8 @@
 
 // Engines gives orders to engines.
 type Engines interface {
-	// Reserve sets memory aside. It reports false when the memory is not free.
+	// Reserve sets memory aside. It reports false when the memory is not free,
+	// and fails with CauseOutOfService when another server has the address.
 	Reserve(ctx context.Context, s pwcatalog.BackendServer, id string, tokens int64, hold time.Duration) (bool, error)
 	Release(ctx context.Context, s pwcatalog.BackendServer, id string) error
 }
--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwgateway"
@@ -105,11 +106,16 @@
 	mu   sync.Mutex
 	held map[string]int64
 	full bool
+	// gone are servers whose address belongs to another one.
+	gone map[string]bool
 }
 
 func (o *orders) Reserve(_ context.Context, s pwcatalog.BackendServer, id string, tokens int64, _ time.Duration) (bool, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.gone[s.ID] {
+		return false, pwverdict.New(pwverdict.NotRun, pwverdict.CauseOutOfService, "%s is gone", s.ID)
+	}
 	if o.full {
 		return false, nil
 	}
@@ -614,6 +620,25 @@
 	}
 }
 
+// A server that is gone, while the store can't tell, must not be asked for
+// memory again: found on trouble-1 of kilo-andino (request d77633df).
+func TestReservationAvoidsServersThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backends := make(map[string]*backend)
+		gone := make(map[string]bool)
+		for i := range 40 {
+			id := fmt.Sprintf("model-%d", i)
+			backends[id] = replies(events(1, 3, "end"))
+			gone[id] = i%8 != 0
+		}
+		s := newSite(t, backends)
+		s.orders.gone = gone
+		if w, cut := s.do(t.Context(), "/note/1", "X-Token-Counts", "400000,500"); cut || w.Body.String() != wholeStream {
+			t.Fatalf("status %d, cut %t, body %q", w.Code, cut, w.Body)
+		}
+	})
+}
+
 func TestFailedReservationLeavesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, map[string]*backend{
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -303,6 +303,13 @@
 		switch res := <-results; {
 		case res.err != nil:
 			failed = res.err
+			x.g.dispatch.with(func(now time.Time, f *pwfleet.Fleet) {
+				if pwverdict.CauseOf(res.err) == pwverdict.CauseOutOfService {
+					f.Gone(res.r.Server.ID)
+				} else if ctx.Err() == nil {
+					f.Failed(now, res.r.Server.ID)
+				}
+			})
 		case !res.ok:
 			failed = pwverdict.New(pwverdict.NotRun, pwverdict.CauseMemoryFull, "%s has no %d tokens free", res.r.Server.ID, res.r.Tokens)
 			x.g.dispatch.with(func(now time.Time, f *pwfleet.Fleet) { f.Full(now, res.r.Server.ID) })
