--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -38,6 +38,8 @@
 	grace    = 5 * time.Second
 	startup  = 5 * time.Second
 	settling = 6 * time.Second
+	// resetInterval leaves some requests the time to run and lose their answer.
+	resetInterval = 30 * time.Millisecond
 )
 
 // Options are the inputs of Run.
@@ -319,7 +321,11 @@
 	case 8:
 		return fmt.Sprintf("replace server %d after draining", i), func(ctx context.Context) { s.replace(ctx, i, false) }
 	case 9:
-		return fmt.Sprintf("reset connections of server %d", i), func(context.Context) { s.server(i).proxy.reset() }
+		return fmt.Sprintf("reset connections of server %d for %s", i, pause), func(ctx context.Context) {
+			for end := time.Now().Add(pause); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, resetInterval) {
+				s.server(i).proxy.reset()
+			}
+		}
 	default:
 		return fmt.Sprintf("silence server %d for %s", i, pause), func(ctx context.Context) {
 			p := s.server(i).proxy
