--- a/internal/cli/pwconsole/errors.go
+++ b/internal/cli/pwconsole/errors.go
@@ -146,7 +146,7 @@
 		return "Delete documents or marks that are no longer needed first."
 	case pwverdict.CauseUnavailable:
 		if e.Verdict() == pwverdict.NotRun {
-			return "Nothing was changed. Try again later, or with another --entry; see \"When the table service is down\" in docs/operations.md."
+			return "Nothing was changed. Try again later, or with another --entry; see \"When the table service is down\" in docs/OPERATIONS.md."
 		}
 	}
 	return ""
