--- a/internal/core/pwfleet/simulation_test.go
+++ b/internal/core/pwfleet/simulation_test.go
@@ -63,7 +63,6 @@
 // simEngine is one engine.
 type simEngine struct {
 	parts   []simPart
-	waiting []simPart
 	writers []*simRequest
 	running bool
 }
@@ -440,8 +439,8 @@
 				if ours.firstInTarget < target {
 					t.Errorf("seed %d: %.3f of the short prompts have their first token within %d ms, want %.2f", seed, ours.firstInTarget, firstTokenTarget, target)
 				}
-				for other, make := range naive(engines) {
-					theirs := play(engines, seconds, kinds, make(), seed)
+				for other, newPlacement := range naive(engines) {
+					theirs := play(engines, seconds, kinds, newPlacement(), seed)
 					t.Logf("seed %d: %s: worth %.3f, in aim %.3v, first token in target %.3f", seed, other, theirs.worth, theirs.inAim, theirs.firstInTarget)
 					if ours.worth < theirs.worth {
 						t.Errorf("seed %d: worth %.3f, %s reaches %.3f", seed, ours.worth, other, theirs.worth)
--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -1,6 +1,7 @@
 package pwsoak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -51,7 +52,7 @@
 }
 
 // startBackend starts a server and lists it.
-func startBackend(id, service, zone string, l *ledger, s *store) (*backend, error) {
+func startBackend(ctx context.Context, id, service, zone string, l *ledger, s *store) (*backend, error) {
 	b := &backend{
 		id:      id,
 		service: service,
@@ -60,7 +61,7 @@
 		store:   s,
 		born:    time.Now().UnixMilli(),
 	}
-	lis, err := net.Listen("tcp4", "127.0.0.1:0")
+	lis, err := listen(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -72,7 +73,7 @@
 		// Serve always ends with an error; the end is wanted.
 		_ = b.srv.Serve(lis)
 	}()
-	if b.proxy, err = startProxy(lis.Addr().String()); err != nil {
+	if b.proxy, err = startProxy(ctx, lis.Addr().String()); err != nil {
 		return nil, err
 	}
 	b.address = b.proxy.address()
@@ -160,8 +161,13 @@
 	closed bool
 }
 
-func startProxy(target string) (*proxy, error) {
-	lis, err := net.Listen("tcp4", "127.0.0.1:0")
+// listen opens a port on loopback.
+func listen(ctx context.Context) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, "tcp4", "127.0.0.1:0")
+}
+
+func startProxy(ctx context.Context, target string) (*proxy, error) {
+	lis, err := listen(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -170,24 +176,24 @@
 		target: target,
 		conns:  make(map[net.Conn]bool),
 	}
-	go p.loop()
+	go p.loop(ctx)
 	return p, nil
 }
 
 func (p *proxy) address() string { return p.lis.Addr().String() }
 
-func (p *proxy) loop() {
+func (p *proxy) loop(ctx context.Context) {
 	for {
 		c, err := p.lis.Accept()
 		if err != nil {
 			return
 		}
-		go p.run(c)
+		go p.run(ctx, c)
 	}
 }
 
-func (p *proxy) run(near net.Conn) {
-	far, err := net.Dial("tcp4", p.target)
+func (p *proxy) run(ctx context.Context, near net.Conn) {
+	far, err := (&net.Dialer{}).DialContext(ctx, "tcp4", p.target)
 	if err != nil {
 		// The server is gone; so is this connection.
 		_ = near.Close()
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -136,7 +136,7 @@
 }
 
 func (s *soak) start(ctx context.Context) error {
-	lis, err := net.Listen("tcp4", "127.0.0.1:0")
+	lis, err := listen(ctx)
 	if err != nil {
 		return err
 	}
@@ -152,7 +152,7 @@
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
 	s.store.put("op", "config", configuration(1, []string{"model", "desk"}))
 	for i := range models + desks {
-		if err := s.addServer(i); err != nil {
+		if err := s.addServer(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -165,7 +165,7 @@
 			return err
 		}
 		s.entries = append(s.entries, e)
-		if err := s.startEntry(e); err != nil {
+		if err := s.startEntry(ctx, e); err != nil {
 			return err
 		}
 	}
@@ -177,13 +177,13 @@
 	return nil
 }
 
-func (s *soak) addServer(i int) error {
+func (s *soak) addServer(ctx context.Context, i int) error {
 	service := "model"
 	if i >= models {
 		service = "desk"
 	}
 	s.next++
-	b, err := startBackend(fmt.Sprintf("i-%s-%d-%d", service, i, s.next), service, "a", s.ledger, s.store)
+	b, err := startBackend(ctx, fmt.Sprintf("i-%s-%d-%d", service, i, s.next), service, "a", s.ledger, s.store)
 	if err != nil {
 		return err
 	}
@@ -192,10 +192,10 @@
 }
 
 // freePorts returns ports that were free a moment ago.
-func freePorts(n int) ([]int, error) {
+func freePorts(ctx context.Context, n int) ([]int, error) {
 	var ports []int
 	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := listen(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -205,9 +205,9 @@
 	return ports, nil
 }
 
-func (s *soak) startEntry(e *entry) error {
+func (s *soak) startEntry(ctx context.Context, e *entry) error {
 	if e.callers == "" {
-		ports, err := freePorts(3)
+		ports, err := freePorts(ctx, 3)
 		if err != nil {
 			return err
 		}
@@ -223,7 +223,8 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(s.opts.Binary, "gateway", "--settings", filepath.Join(e.dir, "settings.conf"))
+	// The process must outlive a context that only ends the faults.
+	cmd := exec.CommandContext(context.WithoutCancel(ctx), s.opts.Binary, "gateway", "--settings", filepath.Join(e.dir, "settings.conf"))
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -240,11 +241,14 @@
 }
 
 // isReady asks the process whether it takes connections.
-func (e *entry) isReady() bool {
-	c := http.Client{
-		Timeout: 300 * time.Millisecond,
+func (e *entry) isReady(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, 300*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.ready+"/v1/readiness", nil)
+	if err != nil {
+		return false
 	}
-	resp, err := c.Get("http://" + e.ready + "/v1/readiness")
+	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return false
 	}
@@ -254,7 +258,7 @@
 
 func (e *entry) awaitReady(ctx context.Context, within time.Duration) error {
 	for end := time.Now().Add(within); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, 20*time.Millisecond) {
-		if e.isReady() {
+		if e.isReady(ctx) {
 			return nil
 		}
 	}
@@ -366,7 +370,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e.done == done {
-		if err := s.startEntry(e); err != nil {
+		if err := s.startEntry(ctx, e); err != nil {
 			s.report.Broken = append(s.report.Broken, err.Error())
 		}
 	}
@@ -387,7 +391,7 @@
 func (s *soak) replace(ctx context.Context, i int, crash bool) {
 	s.mu.Lock()
 	old := s.servers[fmt.Sprint(i)]
-	err := s.addServer(i)
+	err := s.addServer(ctx, i)
 	s.mu.Unlock()
 	if err != nil {
 		s.broken("starting a server: %v", err)
@@ -433,7 +437,7 @@
 	}
 	for ctx.Err() == nil {
 		e := s.entries[rnd.IntN(len(s.entries))]
-		if !e.isReady() {
+		if !e.isReady(ctx) {
 			sleep(ctx, 20*time.Millisecond)
 			continue
 		}
--- a/internal/fake/pwsoak/store.go
+++ b/internal/fake/pwsoak/store.go
@@ -105,7 +105,7 @@
 		rows, version := s.since(r.FormValue("table"), 0, false), s.version
 		s.mu.Unlock()
 		slices.SortFunc(rows, func(a, b *row) int { return strings.Compare(a.Key, b.Key) })
-		answer(w, http.StatusOK, rows, version)
+		answer(w, rows, version)
 	case "/v1/rows-feed":
 		s.feed(w, r)
 	case "/v1/rows-tx":
@@ -122,7 +122,7 @@
 		}
 		version := s.version
 		s.mu.Unlock()
-		answer(w, http.StatusOK, nil, version)
+		answer(w, nil, version)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -149,13 +149,13 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(rows) > 0:
-			answer(w, http.StatusOK, rows, version)
+			answer(w, rows, version)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			answer(w, http.StatusOK, nil, version)
+			answer(w, nil, version)
 			return
 		case <-r.Context().Done():
 			return
@@ -163,9 +163,8 @@
 	}
 }
 
-func answer(w http.ResponseWriter, status int, rows []*row, version int64) {
+func answer(w http.ResponseWriter, rows []*row, version int64) {
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
 	if rows == nil {
 		rows = []*row{}
 	}
--- a/internal/node/pwupstream/upstream_test.go
+++ b/internal/node/pwupstream/upstream_test.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	resp, err := c.Do(t.Context(), &Request{
+	resp, err := c.Do(t.Context(), &Request{ //nolint:bodyclose // closed below, after the release
 		Method: http.MethodPost,
 		Target: "/a",
 		Host:   "h",
@@ -225,7 +225,7 @@
 			conns = append(conns, c)
 		}
 		for _, c := range conns {
-			resp, err := c.Do(t.Context(), &Request{
+			resp, err := c.Do(t.Context(), &Request{ //nolint:bodyclose // without a body
 				Method: http.MethodGet,
 				Target: "/",
 				Header: http.Header{},
