--- a/internal/node/pwupstream/upstream_test.go
+++ b/internal/node/pwupstream/upstream_test.go
@@ -183,7 +183,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		began := time.Now()
-		_, err = c.Do(ctx, &Request{
+		_, err = c.Do(ctx, &Request{ //nolint:bodyclose // no answer comes
 			Method: http.MethodGet,
 			Target: "/",
 			Header: http.Header{},
