--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -51,7 +51,9 @@
 	// keepAliveInterval finds servers that fell silent while a request runs.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
-	readBuffer        = 4 << 10
+	// writeSettle is the time that the writer of a request has to notice its end.
+	writeSettle = 5 * time.Millisecond
+	readBuffer  = 4 << 10
 )
 
 // Config configures a Pool. Zero fields take their defaults.
@@ -329,9 +331,7 @@
 		c.Close()
 		return
 	}
-	select {
-	case <-c.written:
-	default:
+	if !c.wrote() {
 		c.Close()
 		return
 	}
@@ -356,6 +356,17 @@
 	c.pool.put(c)
 }
 
+// wrote reports whether the request has been written whole. The answer may be
+// here a moment before the writer knows.
+func (c *Conn) wrote() bool {
+	select {
+	case <-c.written:
+		return true
+	case <-time.After(writeSettle):
+		return false
+	}
+}
+
 func (p *Pool) put(c *Conn) {
 	p.mu.Lock()
 	full := p.closed || len(p.idle[c.addr]) >= p.cfg.MaxIdle
