Let other workspaces pass a hot one in the queue, and notice changed settings

Cause: long prompts waited by priority and time only, so that a workspace that asked for twenty at once delayed all others; the settings file may change without a signal.

Change: requests of a workspace that had more than an even share of the reading lately count as due up to 1.5 s later; the file is looked at every 2 s.

Measured: TestHotWorkspaceLetsOthersPass: 22nd of 22 without the change, at most 16th with it.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -53,7 +53,9 @@
 	defaultHeaderBytes   = 32 << 10
 	// peerInterval is how often the list of processes is read anew.
 	peerInterval = 30 * time.Second
-	peerTimeout  = 2 * time.Second
+	// settingsInterval is how often the file is looked at; it may change without a signal.
+	settingsInterval = 2 * time.Second
+	peerTimeout      = 2 * time.Second
 	// serverPaceShare is the part of the time in which a leaving server must be
 	// known, in which entries gather that change one after the other.
 	serverPaceShare = 3
@@ -348,18 +350,35 @@
 	return true
 }
 
+// fileState tells whether a file has changed; it is "" while there is none.
+func fileState(path string) string {
+	info, err := os.Stat(path)
+	if err != nil {
+		return ""
+	}
+	return fmt.Sprint(info.ModTime().UnixNano(), info.Size())
+}
+
 // loopSettings reads the settings again when the platform says so or the file
 // has changed.
 func (p *process) loopSettings(ctx context.Context) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	look := time.NewTicker(settingsInterval)
+	defer look.Stop()
+	known := fileState(p.path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
+		case <-look.C:
+			if now := fileState(p.path); now == known {
+				continue
+			}
 		}
+		known = fileState(p.path)
 		d, err := platform.LoadSettings(p.path)
 		if err != nil {
 			p.obs.Warn("the settings are kept", err)
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -46,6 +46,10 @@
 	latest time.Time
 	// start is when the reading must begin for that.
 	start time.Time
+	// workspace is charged for the reading; penalty is how much later it counts
+	// as due because its workspace has had more than its share.
+	workspace string
+	penalty   time.Duration
 	// waitsUntil is when it stops waiting for room.
 	waitsUntil time.Time
 	// givesUp is when it stops waiting for a server that may get it.
@@ -75,6 +79,7 @@
 	waiting []*want
 	budgets map[string]*pwretry.Budget
 	counted int
+	usage   usage
 }
 
 func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
@@ -87,6 +92,9 @@
 		fleet:      f,
 		budgets:    make(map[string]*pwretry.Budget),
 		counted:    1,
+		usage: usage{
+			used: make(map[string]decayed),
+		},
 	}
 }
 
@@ -273,6 +281,7 @@
 			err: err,
 		}
 	}
+	d.usage.charge(now, w.workspace, w.readMS)
 	return grant{
 		plan:    plan,
 		booking: d.fleet.Start(now, plan),
@@ -311,9 +320,9 @@
 
 func (w *want) due(now time.Time) time.Time {
 	if w.late(now) == 1 {
-		return w.latest
+		return w.latest.Add(w.penalty)
 	}
-	return w.start
+	return w.start.Add(w.penalty)
 }
 
 // schedule places the waiting requests for which there is room.
@@ -321,6 +330,9 @@
 	if len(d.waiting) == 0 {
 		return
 	}
+	for _, w := range d.waiting {
+		w.penalty = d.usage.penalty(now, w.workspace)
+	}
 	slices.SortStableFunc(d.waiting, func(a, b *want) int { return before(a, b, now) })
 	kept := d.waiting[:0]
 	for _, w := range d.waiting {
