Call a silent store again at once after its time-out

Change: a call that took longer than the longest backoff is followed by the shortest.

Measured: 200 runs of the test with the race detector pass.

--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -162,6 +162,7 @@
 func (f *Follower[T]) Run(ctx context.Context) {
 	backoff := f.cfg.MinBackoff
 	for ctx.Err() == nil {
+		began := time.Now()
 		err := f.step(ctx)
 		switch {
 		case err == nil:
@@ -179,6 +180,10 @@
 			f.away = true
 			f.obs.Warn("store lost", err, "table", f.cfg.Name)
 		}
+		if time.Since(began) >= f.cfg.MaxBackoff {
+			// The time-out of a silent store was pause enough.
+			backoff = f.cfg.MinBackoff
+		}
 		pause(ctx, time.Duration(rand.Float64()*float64(backoff))+backoff/2)
 		backoff = min(2*backoff, f.cfg.MaxBackoff)
 	}
