--- a/internal/cli/pwroot/root.go
+++ b/internal/cli/pwroot/root.go
@@ -22,6 +22,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwdatacentre"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwdemo"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwgatewaycommand"
+	"github.com/pomeloweir/pomeloweir/internal/cli/pwplatform"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwservice"
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwsettings"
@@ -39,6 +40,7 @@
 	Entry         pwdaemon.EntryOptions    `cmd:"" help:"Run an entry: the process that callers and operators talk to."`
 	Agent         pwdaemon.AgentOptions    `cmd:"" help:"Run an agent: the process beside one backend server."`
 	Gateway       pwgatewaycommand.Options `cmd:"" help:"Run a gateway: serve callers on the users' platform."`
+	Platform      pwplatform.Command       `cmd:"" help:"The users' platform: status of its store, checks of configurations."`
 	Demo          demoCommand              `cmd:"" help:"Run a whole deployment in one process on loopback and measure it."`
 	Capacity      pwcapacity.Options       `cmd:"" help:"Measure the costs of the parts and project the large size."`
 	Version       versionCommand           `cmd:"" help:"Print the version."`
--- /dev/null
+++ b/internal/core/pwcatalog/diff.go
@@ -0,0 +1,113 @@
+package pwcatalog
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Problems returns what makes a configuration unusable, in a stable order.
+func (c *Catalog) Problems() []string {
+	var out []string
+	for _, r := range c.sorted() {
+		name := "route " + r.Name
+		if r.Prefix == "" || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/' {
+			out = append(out, fmt.Sprintf("%s: prefix is %q; it must begin and end with a slash", name, r.Prefix))
+		}
+		if len(r.Shares) == 0 {
+			out = append(out, name+": found no service; one is needed")
+		}
+		for _, s := range r.Shares {
+			if _, ok := c.services[s.Service]; !ok {
+				out = append(out, fmt.Sprintf("%s: service %q is not in the configuration", name, s.Service))
+			}
+			if s.Weight < 0 {
+				out = append(out, fmt.Sprintf("%s: weight of %q is %d; 0 or more is allowed", name, s.Service, s.Weight))
+			}
+		}
+	}
+	for i := range c.list {
+		if e := c.list[i].Engine; e != nil && (e.ReadTokensPerMS <= 0 || e.Slots <= 0 || e.MemoryTokens <= 0 || e.Stride <= 0) {
+			out = append(out, fmt.Sprintf("service %s: slots, memory, stride and reading rate of its engine must be above 0", c.list[i].Name))
+		}
+	}
+	return out
+}
+
+// sorted returns the routes by host and prefix.
+func (c *Catalog) sorted() []*Route {
+	var out []*Route
+	for _, byPrefix := range c.routes {
+		for _, r := range byPrefix {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Route) int {
+		switch {
+		case a.Host+a.Prefix < b.Host+b.Prefix:
+			return -1
+		case a.Host+a.Prefix > b.Host+b.Prefix:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return out
+}
+
+// Diff says what a newer configuration changes, a line for each route, service
+// and workspace. Keys are counted, never shown.
+func (c *Catalog) Diff(newer *Catalog) []string {
+	out := []string{}
+	if c.version != newer.version {
+		out = append(out, fmt.Sprintf("version %d to %d", c.version, newer.version))
+	}
+	if newer.version < c.version {
+		out = append(out, "the version falls; gateways ignore it")
+	}
+	for _, r := range c.sorted() {
+		n := newer.routes[strings.ToLower(r.Host)][r.Prefix]
+		switch {
+		case n == nil:
+			out = append(out, fmt.Sprintf("- route %s %s%s", r.Name, r.Host, r.Prefix))
+		case !reflect.DeepEqual(*r, *n):
+			out = append(out, fmt.Sprintf("~ route %s %s%s: %+v to %+v", r.Name, r.Host, r.Prefix, *r, *n))
+		}
+	}
+	for _, r := range newer.sorted() {
+		if c.routes[strings.ToLower(r.Host)][r.Prefix] == nil {
+			out = append(out, fmt.Sprintf("+ route %s %s%s", r.Name, r.Host, r.Prefix))
+		}
+	}
+	for i := range c.list {
+		s := &c.list[i]
+		n, ok := newer.services[s.Name]
+		switch {
+		case !ok:
+			out = append(out, "- service "+s.Name)
+		case !reflect.DeepEqual(*s, *n):
+			out = append(out, "~ service "+s.Name)
+		}
+	}
+	for i := range newer.list {
+		if _, ok := c.services[newer.list[i].Name]; !ok {
+			out = append(out, "+ service "+newer.list[i].Name)
+		}
+	}
+	added, removed := 0, 0
+	for key := range newer.keys {
+		if c.keys[key] == nil {
+			added++
+		}
+	}
+	for key := range c.keys {
+		if newer.keys[key] == nil {
+			removed++
+		}
+	}
+	if added+removed > 0 {
+		out = append(out, fmt.Sprintf("keys: %d added, %d taken away", added, removed))
+	}
+	return out
+}
