Share the budget of repeats between processes by what each has used

Change: processes tell each other their requests and repeats of a service in the window, and use 60 % of the common budget; the part of those that are not heard stays theirs.

--- a/internal/core/pwretry/retry.go
+++ b/internal/core/pwretry/retry.go
@@ -133,6 +133,16 @@
 	retries  int64
 	// newest is the number of the newest bucket since the zero time.
 	newest int64
+	// others is what other processes had in the window, and floor scales the
+	// retries that are always allowed.
+	others Counts
+	floor  float64
+}
+
+// Counts are the requests and retries of a window.
+type Counts struct {
+	Requests int64
+	Retries  int64
 }
 
 type bucket struct {
@@ -153,6 +163,7 @@
 	}
 	return &Budget{
 		cfg:   cfg,
+		floor: 1,
 		width: max(1, cfg.Window/budgetBuckets),
 	}
 }
@@ -169,7 +180,7 @@
 // for the request.
 func (b *Budget) Take(now time.Time) error {
 	cur := b.advance(now)
-	if float64(b.retries+1) > b.allowance() {
+	if float64(b.retries+b.others.Retries+1) > b.allowance() {
 		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseRetryBudget,
 			"%d retries for %d requests in the last %s", b.retries, b.requests, b.cfg.Window).
 			WithRetryAfter(b.width)
@@ -182,11 +193,27 @@
 // Left returns the number of retries that may be taken now.
 func (b *Budget) Left(now time.Time) int {
 	b.advance(now)
-	return max(0, int(b.allowance())-int(b.retries))
+	return max(0, int(b.allowance())-int(b.retries+b.others.Retries))
+}
+
+// Share makes the budget one with other processes: others is what they had in
+// the window, and floor, from 0 to 1, the part of the retries that are always
+// allowed and that may be used by the processes that are heard.
+func (b *Budget) Share(others Counts, floor float64) {
+	b.others, b.floor = others, floor
+}
+
+// Counts returns the requests and retries of this process in the window.
+func (b *Budget) Counts(now time.Time) Counts {
+	b.advance(now)
+	return Counts{
+		Requests: b.requests,
+		Retries:  b.retries,
+	}
 }
 
 func (b *Budget) allowance() float64 {
-	return b.cfg.Ratio*float64(b.requests) + b.cfg.Floor*b.cfg.Window.Seconds()
+	return b.cfg.Ratio*float64(b.requests+b.others.Requests) + b.cfg.Floor*b.cfg.Window.Seconds()*b.floor
 }
 
 // advance forgets the buckets that have left the window and returns the
--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -125,6 +125,9 @@
 // OwnLoads implements pwpeering.View.
 func (g *Gateway) OwnLoads() []pwfleet.ServerLoad { return g.dispatch.ownLoads() }
 
+// OwnBudgets implements pwpeering.View.
+func (g *Gateway) OwnBudgets() []pwpeering.Budget { return g.dispatch.ownBudgets() }
+
 // OwnCrashes implements pwpeering.View.
 func (g *Gateway) OwnCrashes() []pwpeering.Crash { return g.crashes.tell() }
 
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -13,7 +13,6 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
-	"github.com/pomeloweir/pomeloweir/internal/core/pwretry"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
@@ -29,10 +28,6 @@
 // its place in the queue is found.
 const leastEngines = 10
 
-// budgetShare is the part of the shared retry budget that processes use, so
-// that they stay within it while they disagree on their number.
-const budgetShare = 0.7
-
 // want is a request that needs a server.
 type want struct {
 	id       string
@@ -77,8 +72,7 @@
 	mu      sync.Mutex
 	fleet   *pwfleet.Fleet
 	waiting []*want
-	budgets map[string]*pwretry.Budget
-	counted int
+	budgets *budgets
 	usage   usage
 }
 
@@ -90,8 +84,7 @@
 		notify:     func() {},
 		wake:       make(chan struct{}, 1),
 		fleet:      f,
-		budgets:    make(map[string]*pwretry.Budget),
-		counted:    1,
+		budgets:    newBudgets(d.Bounds),
 		usage: usage{
 			used: make(map[string]decayed),
 		},
@@ -109,7 +102,7 @@
 	defer d.mu.Unlock()
 	if b != d.deployment.Bounds {
 		d.deployment.Bounds = b
-		clear(d.budgets)
+		d.budgets = newBudgets(b)
 	}
 }
 
@@ -144,9 +137,16 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	d.fleet.MergePeer(now, name, m.Loads)
+	d.budgets.merge(now, name, m.Budgets)
 	d.schedule(now)
 }
 
+func (d *dispatcher) ownBudgets() []pwpeering.Budget {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budgets.own(time.Now())
+}
+
 func (d *dispatcher) maintain(now time.Time) {
 	d.mu.Lock()
 	expired := d.fleet.ExpirePeers(now)
@@ -158,37 +158,20 @@
 	}
 }
 
-// budget returns the retry budget of a service, for the present number of processes.
-func (d *dispatcher) budget(service string) *pwretry.Budget {
-	if n := d.fleet.Processes(); n > d.counted {
-		d.counted = n
-		clear(d.budgets)
-	}
-	b := d.budgets[service]
-	if b == nil {
-		bounds := d.deployment.Bounds
-		b = pwretry.NewBudget(pwretry.BudgetConfig{
-			Ratio:  bounds.RetryRatio * budgetShare,
-			Floor:  bounds.RetrySlack * budgetShare / float64(d.counted) / bounds.RetryWindow.Seconds(),
-			Window: bounds.RetryWindow,
-		})
-		d.budgets[service] = b
-	}
-	return b
-}
-
 // admit counts a request for the retry budget of its service.
 func (d *dispatcher) admit(service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.budget(service).Request(time.Now())
+	now := time.Now()
+	d.budgets.of(now, service).Request(now)
 }
 
 // takeRepeat takes one repeat from the budget.
 func (d *dispatcher) takeRepeat(service string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget(service).Take(time.Now())
+	now := time.Now()
+	return d.budgets.of(now, service).Take(now)
 }
 
 // acquire decides where a request goes and counts its load. Long prompts wait
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -39,7 +39,8 @@
 	maxMessage    = 60 << 10
 	maxLoads      = 2000
 	maxCrashes    = 32
-	magic         = uint32(0x70776c31)
+	maxBudgets    = 64
+	magic         = uint32(0x70776c32)
 )
 
 // Crash is a backend server that died under a request.
@@ -52,16 +53,27 @@
 	AgeMS uint32
 }
 
+// Budget is what a process had of a service's requests and repeats lately.
+type Budget struct {
+	// Service is a hash of the service's name.
+	Service  uint64
+	Requests uint32
+	Repeats  uint32
+}
+
 // Message is what a peer says.
 type Message struct {
 	Loads   []pwfleet.ServerLoad
 	Crashes []Crash
+	Budgets []Budget
 }
 
 // View is the state that is exchanged.
 type View interface {
 	// OwnLoads returns what this process has in flight.
 	OwnLoads() []pwfleet.ServerLoad
+	// OwnBudgets returns what this process had of each service's repeats.
+	OwnBudgets() []Budget
 	// OwnCrashes returns the crashes that peers should know.
 	OwnCrashes() []Crash
 	// MergePeer takes over what a peer has in flight.
@@ -239,6 +251,7 @@
 	Name     [64]byte
 	Loads    uint16
 	Crashes  uint16
+	Budgets  uint16
 }
 
 // record is the load on one server.
@@ -256,12 +269,15 @@
 	loads = loads[:min(len(loads), maxLoads)]
 	crashes := x.view.OwnCrashes()
 	crashes = crashes[:min(len(crashes), maxCrashes)]
+	budgets := x.view.OwnBudgets()
+	budgets = budgets[:min(len(budgets), maxBudgets)]
 	h := header{
 		Magic:    magic,
 		Start:    x.start,
 		Sequence: sequence,
 		Loads:    uint16(len(loads)),
 		Crashes:  uint16(len(crashes)),
+		Budgets:  uint16(len(budgets)),
 	}
 	copy(h.Name[:], x.cfg.Instance)
 	if err := binary.Write(buf, binary.LittleEndian, &h); err != nil {
@@ -281,7 +297,10 @@
 	if err := binary.Write(buf, binary.LittleEndian, records); err != nil {
 		return err
 	}
-	return binary.Write(buf, binary.LittleEndian, crashes)
+	if err := binary.Write(buf, binary.LittleEndian, crashes); err != nil {
+		return err
+	}
+	return binary.Write(buf, binary.LittleEndian, budgets)
 }
 
 func (x *Exchange) loopReceive(ctx context.Context, done chan<- struct{}) {
@@ -314,7 +333,7 @@
 	if err := binary.Read(r, binary.LittleEndian, &h); err != nil {
 		return err
 	}
-	if h.Magic != magic || h.Loads > maxLoads || h.Crashes > maxCrashes {
+	if h.Magic != magic || h.Loads > maxLoads || h.Crashes > maxCrashes || h.Budgets > maxBudgets {
 		return errMessage
 	}
 	records := make([]record, h.Loads)
@@ -325,6 +344,10 @@
 	if err := binary.Read(r, binary.LittleEndian, crashes); err != nil {
 		return err
 	}
+	budgets := make([]Budget, h.Budgets)
+	if err := binary.Read(r, binary.LittleEndian, budgets); err != nil {
+		return err
+	}
 	if !x.fresh(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), &h) {
 		return nil
 	}
@@ -344,6 +367,7 @@
 	x.view.MergePeer(string(bytes.TrimRight(h.Name[:], "\x00")), Message{
 		Loads:   loads,
 		Crashes: crashes,
+		Budgets: budgets,
 	})
 	return nil
 }
--- a/internal/node/pwpeering/peering_test.go
+++ b/internal/node/pwpeering/peering_test.go
@@ -14,11 +14,13 @@
 type memory struct {
 	own     []pwfleet.ServerLoad
 	crashes []Crash
+	budgets []Budget
 	merged  map[string]Message
 	count   int
 }
 
 func (m *memory) OwnLoads() []pwfleet.ServerLoad { return m.own }
+func (m *memory) OwnBudgets() []Budget           { return m.budgets }
 func (m *memory) OwnCrashes() []Crash            { return m.crashes }
 func (m *memory) MergePeer(peer string, msg Message) {
 	m.merged[peer] = msg
@@ -67,6 +69,11 @@
 			Attempt:     8,
 			AgeMS:       9,
 		}},
+		budgets: []Budget{{
+			Service:  3,
+			Requests: 40,
+			Repeats:  2,
+		}},
 	}
 	receiver := &memory{
 		merged: make(map[string]Message),
@@ -76,7 +83,7 @@
 		t.Fatal(err)
 	}
 	got := receiver.merged["front-1"]
-	if len(got.Loads) != 1 || got.Loads[0] != sender.own[0] || len(got.Crashes) != 1 || got.Crashes[0] != sender.crashes[0] {
+	if len(got.Loads) != 1 || got.Loads[0] != sender.own[0] || len(got.Crashes) != 1 || got.Crashes[0] != sender.crashes[0] || len(got.Budgets) != 1 || got.Budgets[0] != sender.budgets[0] {
 		t.Errorf("%+v, want %+v and %+v", got, sender.own, sender.crashes)
 	}
 	if x.Heard() != 1 {
