Keep the list of processes in a package of its own, and remove rows of dead ones

Change: rows carry the store's time, are renewed each 5 minutes and removed after 30; the list is read again 0.5, 2.5 and 10.5 s after the start.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -51,15 +51,11 @@
 	defaultIdleTimeout   = 30 * time.Second
 	defaultHeaderTimeout = 5 * time.Second
 	defaultHeaderBytes   = 32 << 10
-	// peerInterval is how often the list of processes is read anew.
-	peerInterval = 30 * time.Second
 	// settingsInterval is how often the file is looked at; it may change without a signal.
 	settingsInterval = 2 * time.Second
-	peerTimeout      = 2 * time.Second
 	// serverPaceShare is the part of the time in which a leaving server must be
 	// known, in which entries gather that change one after the other.
 	serverPaceShare = 3
-	peerBackoff     = 300 * time.Millisecond
 )
 
 // Options are the inputs of "gateway".
@@ -120,7 +116,6 @@
 	exchange   *pwpeering.Exchange
 	operator   *pwcontrol.Follower[pwcontrol.OperatorRow]
 	servers    *pwcontrol.Follower[pwcatalog.BackendServer]
-	peers      *platform.Table[pwcontrol.Peer]
 	wg         sync.WaitGroup
 	configured chan struct{}
 	once       sync.Once
@@ -151,7 +146,6 @@
 		Name: "servers",
 		Pace: d.Bounds.Drain / serverPaceShare,
 	}, p.obs, p.gateway.Servers)
-	p.peers = platform.NewPeerTable(client)
 	p.gateway.SetContact(p.operator.LastContact)
 	var err error
 	p.exchange, err = pwpeering.New(pwpeering.Config{
@@ -162,13 +156,18 @@
 		return err
 	}
 	p.gateway.SetNotify(p.exchange.Notify)
+	directory := pwpeering.NewDirectory(platform.NewPeerTable(client), pwcontrol.Peer{
+		Instance:   d.Instance,
+		Address:    p.peerAddress(),
+		DataCentre: d.DataCentre,
+	}, p.exchange.Know, p.obs)
 
 	// Background work ends after the last request.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer p.wg.Wait()
 	defer stop()
 	for _, loop := range []func(context.Context){
-		p.operator.Run, p.servers.Run, p.gateway.Run, p.exchange.Run, p.loopPeers, p.loopSettings,
+		p.operator.Run, p.servers.Run, p.gateway.Run, p.exchange.Run, directory.Run, p.loopSettings,
 	} {
 		p.wg.Add(1)
 		go func() {
@@ -302,54 +301,6 @@
 	return mux
 }
 
-// loopPeers makes this process known and learns of the others.
-func (p *process) loopPeers(ctx context.Context) {
-	registered := false
-	for ctx.Err() == nil {
-		if !registered {
-			registered = p.register(ctx)
-		}
-		pause := peerInterval
-		if !p.learnPeers(ctx) || !registered {
-			pause = peerBackoff
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
-	}
-}
-
-func (p *process) register(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	err := p.peers.Put(ctx, p.deployment.Instance, pwcontrol.Peer{
-		Instance:   p.deployment.Instance,
-		Address:    p.peerAddress(),
-		DataCentre: p.deployment.DataCentre,
-	})
-	if err != nil {
-		p.obs.Warn("registering this process", err)
-	}
-	return err == nil
-}
-
-func (p *process) learnPeers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	snap, err := p.peers.List(ctx)
-	if err != nil {
-		p.obs.Warn("reading the processes", err)
-		return false
-	}
-	for _, it := range snap.Items {
-		if it.Err == nil {
-			p.exchange.Know(it.Value.Address)
-		}
-	}
-	return true
-}
-
 // fileState tells whether a file has changed; it is "" while there is none.
 func fileState(path string) string {
 	info, err := os.Stat(path)
--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -62,6 +62,8 @@
 	// Address is where it receives load reports, IP:PORT over UDP.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre"`
+	// SeenMS is when it last wrote this row, by the store's clock.
+	SeenMS int64 `json:"seen_ms"`
 }
 
 // Defaults of a Config.
--- /dev/null
+++ b/internal/node/pwpeering/directory.go
@@ -0,0 +1,106 @@
+package pwpeering
+
+import (
+	"context"
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
+)
+
+// Intervals of a Directory. Calls to the store have their price.
+const (
+	// readInterval is how often the list of processes is read; between readings
+	// processes learn of each other from messages.
+	readInterval = 30 * time.Second
+	// renewInterval is how often a process writes its row anew.
+	renewInterval = 5 * time.Minute
+	// rowRetention is the age by the store's clock at which a row is removed.
+	rowRetention = 30 * time.Minute
+	// retryInterval is the pause after a call that failed.
+	retryInterval = 300 * time.Millisecond
+	callTimeout   = 2 * time.Second
+)
+
+// firstReadings are the pauses after the first readings of the list.
+var firstReadings = []time.Duration{500 * time.Millisecond, 2 * time.Second, 8 * time.Second}
+
+// Table holds a row for each process.
+type Table interface {
+	List(ctx context.Context) (pwcontrol.Snapshot[pwcontrol.Peer], error)
+	Put(ctx context.Context, key string, p pwcontrol.Peer) error
+	// Remove drops a row if it still has the version.
+	Remove(ctx context.Context, key string, version int64) error
+}
+
+// Directory makes a process known and finds the others in the store.
+type Directory struct {
+	table Table
+	self  pwcontrol.Peer
+	know  func(address string)
+	obs   *pwobserve.Observer
+	// writtenAt is when the own row was written; zero if it was not.
+	writtenAt time.Time
+}
+
+// NewDirectory returns the directory entry of a process. know is called with
+// the address of each process that is listed.
+func NewDirectory(table Table, self pwcontrol.Peer, know func(address string), obs *pwobserve.Observer) *Directory {
+	return &Directory{
+		table: table,
+		self:  self,
+		know:  know,
+		obs:   obs,
+	}
+}
+
+// Run keeps the row and the list until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	// Processes that start together write their rows after the first reading.
+	early := firstReadings
+	for ctx.Err() == nil {
+		pause := readInterval
+		if len(early) > 0 {
+			pause, early = early[0], early[1:]
+		}
+		if err := d.step(ctx); err != nil && ctx.Err() == nil {
+			d.obs.Warn("list of processes", err)
+			pause = retryInterval
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// step reads the list, writes the own row if it is due, and removes old rows.
+func (d *Directory) step(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	snap, err := d.table.List(ctx)
+	if err != nil {
+		return err
+	}
+	for _, it := range snap.Items {
+		if it.Err != nil {
+			continue
+		}
+		d.know(it.Value.Address)
+		old := snap.NowMS-it.Value.SeenMS > rowRetention.Milliseconds()
+		if old && it.Key != d.self.Instance {
+			if err := d.table.Remove(ctx, it.Key, it.Version); err != nil {
+				d.obs.Warn("removing the row of a process", err, "instance_removed", it.Key)
+			}
+		}
+	}
+	if !d.writtenAt.IsZero() && time.Since(d.writtenAt) < renewInterval {
+		return nil
+	}
+	d.self.SeenMS = snap.NowMS
+	if err := d.table.Put(ctx, d.self.Instance, d.self); err != nil {
+		return err
+	}
+	d.writtenAt = time.Now()
+	return nil
+}
