Bound the memory of running requests, and drop fields that nothing read

Cause: bodies of any number of requests were held at once; reading the diff also found three fields that were only written.

Change: a third of the machine's memory is set aside for running requests; what exceeds it is refused at once.

--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -50,7 +50,6 @@
 	// givesUp is when it stops waiting for a server that may get it.
 	givesUp time.Time
 	granted chan grant
-	waiting bool
 	// blocked is what kept the request waiting when it was looked at last.
 	blocked error
 }
@@ -235,7 +234,6 @@
 			WithRetryAfter(min(wait, w.latest.Sub(now)) / 2)
 	}
 	w.granted = make(chan grant, 1)
-	w.waiting = true
 	d.waiting = append(d.waiting, w)
 	return nil
 }
@@ -333,7 +331,6 @@
 
 // grant gives a waiting request its place or its refusal.
 func (w *want) grant(g grant) {
-	w.waiting = false
 	if g.err != nil {
 		var e *pwverdict.Error
 		if errors.As(g.err, &e) && e.RetryAfter() == 0 {
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -21,6 +21,9 @@
 const (
 	// defaultBodyBytes bounds bodies when the configuration does not.
 	defaultBodyBytes = 4 << 20
+	// requestBytes is about what a running request takes beside its body:
+	// buffers and stacks of its two connections.
+	requestBytes = 32 << 10
 	// staleAfter is the silence of the store after which an unknown route or key
 	// may belong to a newer configuration.
 	staleAfter = 6 * time.Second
@@ -67,7 +70,6 @@
 	waited  time.Duration
 	// blocked is what the request waited for, or nil.
 	blocked error
-	lastErr error
 }
 
 // ServeHTTP serves one request of a caller.
@@ -83,6 +85,13 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := g.catalog.Load()
+	size := x.bodySize(c)
+	if !g.admitBody(size) {
+		x.refuse(http.StatusServiceUnavailable, newRefusal(http.StatusServiceUnavailable, pwverdict.CauseQueueFull,
+			"the bodies of running requests fill the memory set aside for them"))
+		return
+	}
+	defer g.releaseBody(size)
 	if err := x.readBody(c); err != nil {
 		x.refuse(statusOf(err), err)
 		return
@@ -119,11 +128,36 @@
 	}
 }
 
-func (x *exchange) readBody(c *pwcatalog.Catalog) error {
-	limit := int64(defaultBodyBytes)
+// bodyLimit is the largest body that the configuration allows.
+func bodyLimit(c *pwcatalog.Catalog) int64 {
 	if c != nil && c.Limits().BodyBytes > 0 {
-		limit = c.Limits().BodyBytes
+		return c.Limits().BodyBytes
+	}
+	return defaultBodyBytes
+}
+
+// bodySize is the memory that the request's body may take.
+func (x *exchange) bodySize(c *pwcatalog.Catalog) int64 {
+	if n := x.r.ContentLength; n >= 0 {
+		return min(n, bodyLimit(c))
 	}
+	return bodyLimit(c)
+}
+
+// admitBody sets memory aside for a body.
+func (g *Gateway) admitBody(size int64) bool {
+	size += requestBytes
+	if g.bodies.Add(size) <= g.cfg.Policy.BodyMemory {
+		return true
+	}
+	g.bodies.Add(-size)
+	return false
+}
+
+func (g *Gateway) releaseBody(size int64) { g.bodies.Add(-size - requestBytes) }
+
+func (x *exchange) readBody(c *pwcatalog.Catalog) error {
+	limit := bodyLimit(c)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -206,7 +240,6 @@
 			x.g.crashes.finished(x.fingerprint)
 			return
 		}
-		x.lastErr = err
 		if !again || ctx.Err() != nil {
 			x.finishFailed(ctx, err)
 			return
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -116,11 +116,16 @@
 
 	catalog  atomic.Pointer[pwcatalog.Catalog]
 	stopping atomic.Bool
-	contact  func() time.Time
+	// bodies is the memory set aside for running requests.
+	bodies  atomic.Int64
+	contact func() time.Time
 }
 
 // New returns a gateway without a configuration; it answers 503 until it has one.
 func New(cfg Config, obs *pwobserve.Observer) *Gateway {
+	if cfg.Policy.BodyMemory <= 0 {
+		cfg.Policy.BodyMemory = cfg.Deployment.MemoryBytes / bodyMemoryPart
+	}
 	cfg.Policy = cfg.Policy.withDefaults()
 	g := &Gateway{
 		cfg:     cfg,
--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -672,3 +672,36 @@
 		}
 	})
 }
+
+// A flood of requests must not take more memory than is set aside.
+func TestMemoryOfRequestsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, map[string]*backend{
+			"desk-1": replies(func(c net.Conn, r *http.Request) {
+				time.Sleep(time.Second)
+				answer(200, "", "ok")(c, r)
+			}),
+		})
+		const asked = 3000 // at 32 KB each more than the default of 64 MB
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		codes := make(map[int]int)
+		for range asked {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				w, _ := s.do(t.Context(), "/book/1")
+				mu.Lock()
+				defer mu.Unlock()
+				codes[w.Code]++
+			}()
+		}
+		wg.Wait()
+		if n := codes[http.StatusServiceUnavailable]; n < asked/4 || n > asked/2 {
+			t.Errorf("answers %v", codes)
+		}
+		if w, _ := s.do(t.Context(), "/book/1"); w.Code != http.StatusOK {
+			t.Errorf("afterwards %d", w.Code)
+		}
+	})
+}
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -9,6 +9,10 @@
 // maintenanceInterval is how often old connections and peers are looked for.
 const maintenanceInterval = 500 * time.Millisecond
 
+// bodyMemoryPart is the divisor of the machine's memory that running requests
+// may take; the rest is the collector's and the program's.
+const bodyMemoryPart = 3
+
 // Policy holds the times and limits of requests. Zero fields take their defaults.
 type Policy struct {
 	// AbandonFloor, AbandonTargets and AbandonGaps say when callers leave a
@@ -30,6 +34,8 @@
 	MaxRejections int
 	// MaxWaiting bounds the requests that wait for an engine.
 	MaxWaiting int
+	// BodyMemory bounds the memory of running requests, in bytes.
+	BodyMemory int64
 	// NoServerShare is the part of the target that a request waits while no
 	// server may get it.
 	NoServerShare float64
@@ -55,6 +61,9 @@
 	def(&p.SafeTimeoutTargets, 1.6)
 	def(&p.NoServerShare, 0.125) // held longer, a refusal costs the caller its return
 	def(&p.WaitShare, 0.35)
+	if p.BodyMemory <= 0 {
+		p.BodyMemory = 64 << 20
+	}
 	if p.MaxRejections <= 0 {
 		// Each one tells of one server that is leaving while the store is away.
 		p.MaxRejections = 12
