Blame no server when connections to many break at once

Change: broken connections of one server within 250 ms count as one failure; when three servers and a quarter of those that carry requests break off together, none is avoided. Also drops Fleet.Len, which nothing called.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -177,9 +177,11 @@
 	// badness grows with failures and shrinks with successes.
 	badness      float64
 	suspectUntil time.Time
-	fullUntil    time.Time
-	heardAt      time.Time
-	noHelpUntil  time.Time
+	// brokenAt is when a connection to it was last lost or refused.
+	brokenAt    time.Time
+	fullUntil   time.Time
+	heardAt     time.Time
+	noHelpUntil time.Time
 	// lapsesAt is when a lapsed entry stops naming the server; zero if it is listed.
 	lapsesAt time.Time
 	gone     bool
@@ -223,7 +225,9 @@
 	models    map[string]pwcost.Model
 	coldRate  map[string]float64
 	evacuated map[string]bool
-	version   uint64
+	// resets are the latest broken connections, one for each server.
+	resets  []reset
+	version uint64
 }
 
 // New returns an empty fleet.
@@ -250,9 +254,6 @@
 	return f.cfg.Draw(n)
 }
 
-// Len returns the number of listed servers.
-func (f *Fleet) Len() int { return len(f.servers) }
-
 // Configure takes over the engines and cold rates of a configuration.
 func (f *Fleet) Configure(services []pwcatalog.Service) {
 	clear(f.models)
@@ -394,18 +395,6 @@
 	return out
 }
 
-// Failed notes that a server failed a request or did not answer.
-func (f *Fleet) Failed(now time.Time, id string) time.Duration {
-	s := f.servers[id]
-	if s == nil {
-		return 0
-	}
-	s.badness++
-	pause := min(f.cfg.MaxSuspect, time.Duration(float64(f.cfg.MinSuspect)*s.badness*s.badness))
-	s.suspectUntil = now.Add(pause)
-	return pause
-}
-
 // Succeeded notes a good answer.
 func (f *Fleet) Succeeded(id string) {
 	if s := f.servers[id]; s != nil {
--- a/internal/core/pwfleet/fleet_test.go
+++ b/internal/core/pwfleet/fleet_test.go
@@ -217,7 +217,7 @@
 		"evacuated": func(f *Fleet) { f.SetEvacuated("hakata", true) },
 		"removed":   func(f *Fleet) { f.Remove("d-0") },
 		"gone":      func(f *Fleet) { f.Gone("d-0") },
-		"suspect":   func(f *Fleet) { f.Failed(start, "d-0") },
+		"suspect":   func(f *Fleet) { f.Failed(start, "d-0", FailedAnswer) },
 		"full":      func(f *Fleet) { f.Full(start, "d-0") },
 		"moved": func(f *Fleet) {
 			f.Upsert(start, listed("d-0", "model", "hakata"))
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -51,7 +51,7 @@
 	x := s.x
 	conn, err := x.g.pool.Get(ctx, s.plan.Server.Address)
 	if err != nil {
-		s.failed()
+		s.failed(pwfleet.FailedConnect)
 		x.rejections++
 		return x.rejections < x.g.cfg.Policy.MaxRejections, err
 	}
@@ -95,7 +95,7 @@
 	}
 	x.runs++
 	if resp.StatusCode/100 == 2 && !answer.Sealed {
-		return s.lost(pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "an answer without the server's signature"))
+		return s.lost(pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "an answer without the server's signature"), pwfleet.FailedAnswer)
 	}
 	if x.route.Kind == pwcatalog.Streaming && resp.StatusCode/100 == 2 {
 		return s.stream(resp)
@@ -185,16 +185,19 @@
 // broken handles a request without an answer.
 func (s *send) broken(err error) (bool, error) {
 	s.x.runs++
-	return s.lost(err)
+	return s.lost(err, pwfleet.FailedReset)
 }
 
 // lost handles a server that may have run the request and gave no whole answer.
-func (s *send) lost(err error) (bool, error) {
+func (s *send) lost(err error, how pwfleet.Failure) (bool, error) {
 	x := s.x
 	if x.r.Context().Err() != nil || time.Until(x.deadline) <= 0 {
 		return false, err
 	}
-	s.failed()
+	if s.silent.Load() {
+		how = pwfleet.FailedAnswer
+	}
+	s.failed(how)
 	x.tried[s.plan.Server.ID] = true
 	if s.silent.Load() {
 		err = pwverdict.Wrap(errSilent, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "%s", s.plan.Server.ID)
@@ -204,10 +207,10 @@
 	return x.route.Repeatable() && x.runs < x.route.Attempts, err
 }
 
-func (s *send) failed() {
+func (s *send) failed(how pwfleet.Failure) {
 	var pause time.Duration
 	s.x.g.dispatch.with(func(now time.Time, f *pwfleet.Fleet) {
-		pause = f.Failed(now, s.plan.Server.ID)
+		pause = f.Failed(now, s.plan.Server.ID, how)
 	})
 	s.x.g.obs.Event("server_suspect", s.x.fields(
 		"backend_server", s.plan.Server.ID,
@@ -229,18 +232,18 @@
 		err = errors.New("the answer is too large")
 	}
 	if err != nil {
-		return s.lost(pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "the answer broke off"))
+		return s.lost(pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "the answer broke off"), pwfleet.FailedReset)
 	}
 	if x.started {
 		// The head of a stream has been delivered; only events may follow it.
 		return s.lost(pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseEngineFailed,
-			"%s answered %d instead of going on with the stream", s.plan.Server.ID, resp.StatusCode))
+			"%s answered %d instead of going on with the stream", s.plan.Server.ID, resp.StatusCode), pwfleet.FailedAnswer)
 	}
 	s.release(resp)
 	if resp.StatusCode >= http.StatusInternalServerError && s.x.runs < x.route.Attempts && x.route.Repeatable() &&
 		time.Until(x.deadline) > x.route.Target/2 {
 		if x.route.Kind == pwcatalog.Streaming {
-			s.failed()
+			s.failed(pwfleet.FailedAnswer)
 		}
 		x.tried[s.plan.Server.ID] = true
 		return true, pwverdict.New(pwverdict.Ran, pwverdict.CauseEngineFailed, "%s answered %d", s.plan.Server.ID, resp.StatusCode)
@@ -307,7 +310,7 @@
 				if pwverdict.CauseOf(res.err) == pwverdict.CauseOutOfService {
 					f.Gone(res.r.Server.ID)
 				} else if ctx.Err() == nil {
-					f.Failed(now, res.r.Server.ID)
+					f.Failed(now, res.r.Server.ID, pwfleet.FailedAnswer)
 				}
 			})
 		case !res.ok:
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -174,5 +174,5 @@
 
 func (s *send) streamBroken(err error) (bool, error) {
 	return s.lost(pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed,
-		"the stream of %s broke after %d events", s.plan.Server.ID, s.x.events))
+		"the stream of %s broke after %d events", s.plan.Server.ID, s.x.events), pwfleet.FailedReset)
 }
