Avoid engines that turn slow, and move short streams away from them

Cause: a server that turns slow for seconds or hours was known only by failed answers.

Change: pwfleet keeps the pace of each engine: the shortest of three pauses between events, which holds no reading, against the model and against all engines of the service, so that a burst makes none slow. A slow engine gets work only when others have no room, for 4 s and twice as long each time it is still slow, 30 s at most. A short stream that may be resumed goes on elsewhere if another engine has room and more than 20 repeats are left in the budget.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -178,9 +178,14 @@
 	badness      float64
 	suspectUntil time.Time
 	// brokenAt is when a connection to it was last lost or refused.
-	brokenAt    time.Time
-	fullUntil   time.Time
-	heardAt     time.Time
+	brokenAt  time.Time
+	fullUntil time.Time
+	heardAt   time.Time
+	pace      pace
+	// slowUntil ends the time that the server gets work only for want of others;
+	// slowFor is its length.
+	slowUntil   time.Time
+	slowFor     time.Duration
 	noHelpUntil time.Time
 	// lapsesAt is when a lapsed entry stops naming the server; zero if it is listed.
 	lapsesAt time.Time
@@ -225,6 +230,8 @@
 	models    map[string]pwcost.Model
 	coldRate  map[string]float64
 	evacuated map[string]bool
+	// paces holds the pace of all servers of a service.
+	paces map[string]*pace
 	// resets are the latest broken connections, one for each server.
 	resets  []reset
 	version uint64
@@ -241,6 +248,7 @@
 		models:    make(map[string]pwcost.Model),
 		coldRate:  make(map[string]float64),
 		evacuated: make(map[string]bool),
+		paces:     make(map[string]*pace),
 	}
 }
 
@@ -292,6 +300,7 @@
 		f.ranked[info.Service] = ranked
 	} else if s.info.Born != info.Born || s.info.Address != info.Address {
 		s.badness, s.suspectUntil, s.fullUntil, s.gone = 0, time.Time{}, time.Time{}, false
+		s.pace, s.slowUntil, s.slowFor = pace{}, time.Time{}, 0
 		s.coldUntil, s.cold = time.Time{}, tokens{}
 	}
 	s.info = info
--- /dev/null
+++ b/internal/core/pwfleet/pace.go
@@ -0,0 +1,110 @@
+package pwfleet
+
+import (
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+)
+
+const (
+	// paceWeight is the weight of the newest pause in a server's pace, so that
+	// few pauses tell.
+	paceWeight = 0.5
+	// servicePaceWeight is its weight in the pace of all servers of a service,
+	// which a burst raises for all of them.
+	servicePaceWeight = 0.02
+	// slowFactor is the pace, against that of all servers, from which a server
+	// counts as slow.
+	slowFactor = 2.2
+	// minSlow and maxSlow bound the time that a slow server gets work only when
+	// others have no room. It doubles each time that the server is still slow.
+	minSlow = 4 * time.Second
+	maxSlow = 30 * time.Second
+)
+
+// pace is a moving mean of the pauses between events, as a multiple of what the
+// engine's model expects. Its zero value stands for 1.
+type pace struct {
+	value float64
+}
+
+func (p *pace) get() float64 {
+	if p.value == 0 {
+		return 1
+	}
+	return p.value
+}
+
+func (p *pace) add(ratio, weight float64) {
+	p.value = (1-weight)*p.get() + weight*ratio
+}
+
+// Paused notes the shortest of some pauses between events of a server, which
+// holds no reading, and reports whether the server is slow. begins is set when
+// it has just been found to be.
+func (f *Fleet) Paused(now time.Time, id string, pause time.Duration) (slow, begins bool) {
+	s := f.servers[id]
+	if s == nil {
+		return false, false
+	}
+	m, ok := f.models[s.info.Service]
+	if !ok {
+		return false, false
+	}
+	l := s.load()
+	ratio := float64(pause) / float64(time.Millisecond) / m.Pass(l.Requests, l.Memory, 0)
+	all := f.paces[s.info.Service]
+	if all == nil {
+		all = &pace{}
+		f.paces[s.info.Service] = all
+	}
+	all.add(ratio, servicePaceWeight)
+	s.pace.add(ratio, paceWeight)
+	if s.pace.get() < slowFactor*max(1, all.get()) {
+		if !now.Before(s.slowUntil) {
+			s.slowFor = 0
+		}
+		return false, false
+	}
+	if now.Before(s.slowUntil) {
+		return true, false
+	}
+	s.slowFor = min(maxSlow, max(minSlow, 2*s.slowFor))
+	s.slowUntil = now.Add(s.slowFor)
+	return true, true
+}
+
+// withoutSlow drops the servers that are slow, unless none is left.
+func withoutSlow(now time.Time, cands []*server) []*server {
+	kept := make([]*server, 0, len(cands))
+	for _, s := range cands {
+		if !now.Before(s.slowUntil) {
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) == 0 {
+		return cands
+	}
+	return kept
+}
+
+// planAround plans without slow servers, and with them if the others have no room.
+func planAround(now time.Time, cands []*server, plan func([]*server) (Plan, error)) (Plan, error) {
+	quick := withoutSlow(now, cands)
+	p, err := plan(quick)
+	if err != nil && len(quick) < len(cands) {
+		return plan(cands)
+	}
+	return p, err
+}
+
+// Elsewhere reports whether a request that has been served in part by a server
+// that is slow finds another one.
+func (f *Fleet) Elsewhere(now time.Time, r Request, from pwcatalog.BackendServer) bool {
+	p, err := f.Plan(now, r)
+	if err != nil {
+		return false
+	}
+	s := f.servers[p.Server.ID]
+	return p.Server.ID != from.ID && s != nil && !now.Before(s.slowUntil) && s.badness < 1
+}
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -180,9 +180,9 @@
 	case !ok:
 		return f.planCall(r, cands), nil
 	case m.Read(r.Tokens) <= f.cfg.ShortReadMS:
-		return f.planShort(r, m, cands)
+		return planAround(now, cands, func(cands []*server) (Plan, error) { return f.planShort(r, m, cands) })
 	default:
-		return f.planLong(now, r, m, cands)
+		return planAround(now, cands, func(cands []*server) (Plan, error) { return f.planLong(now, r, m, cands) })
 	}
 }
 
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -248,19 +248,24 @@
 	}
 }
 
+// request returns what decides on a place.
+func (x *exchange) request() pwfleet.Request {
+	return pwfleet.Request{
+		Service:    x.service,
+		Tokens:     x.call.Tokens,
+		Output:     x.call.Output,
+		DataCentre: x.g.cfg.Deployment.DataCentre,
+		Exclude:    x.tried,
+		Gap:        x.route.TargetGap,
+	}
+}
+
 // acquire waits for a place.
 func (x *exchange) acquire(ctx context.Context) (pwfleet.Plan, *pwfleet.Booking, error) {
 	now := time.Now()
 	w := &want{
-		id: x.call.ID,
-		req: pwfleet.Request{
-			Service:    x.service,
-			Tokens:     x.call.Tokens,
-			Output:     x.call.Output,
-			DataCentre: x.g.cfg.Deployment.DataCentre,
-			Exclude:    x.tried,
-			Gap:        x.route.TargetGap,
-		},
+		id:         x.call.ID,
+		req:        x.request(),
 		workspace:  x.workspace,
 		priority:   x.priority,
 		arrived:    x.arrived,
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -42,6 +42,7 @@
 	helpers []Helper
 	conn    *pwupstream.Conn
 	dog     *watchdog
+	pauses  pauses
 	// silent is set when the watchdog ended the send.
 	silent atomic.Bool
 }
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -101,7 +101,9 @@
 		}
 		x.events++
 		s.dog.heard()
-		x.noteGap()
+		if s.pauses.add(x.noteGap()) && s.leavesSlow(s.pauses.shortest()) {
+			return s.leaveSlow()
+		}
 		if br.Buffered() > 0 && completeEvent(br) {
 			continue
 		}
@@ -111,13 +113,16 @@
 	}
 }
 
-// noteGap notes the pause before an event.
-func (x *exchange) noteGap() {
+// noteGap notes and returns the pause before an event.
+func (x *exchange) noteGap() time.Duration {
 	now := time.Now()
+	var gap time.Duration
 	if !x.eventAt.IsZero() {
-		x.maxGap = max(x.maxGap, now.Sub(x.eventAt))
+		gap = now.Sub(x.eventAt)
+		x.maxGap = max(x.maxGap, gap)
 	}
 	x.eventAt = now
+	return gap
 }
 
 // completeEvent reports whether another whole event is buffered.
