--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -53,9 +53,11 @@
 	defaultHeaderBytes   = 32 << 10
 	// settingsInterval is how often the file is looked at; it may change without a signal.
 	settingsInterval = 2 * time.Second
-	// serverPaceShare is the part of the time in which a leaving server must be
-	// known, in which entries gather that change one after the other.
-	serverPaceShare = 3
+	// serverPaceShare and operatorPaceShare are the parts of the time in which a
+	// leaving server or a configuration must be known, in which rows gather that
+	// change one after the other.
+	serverPaceShare   = 3
+	operatorPaceShare = 5
 )
 
 // Options are the inputs of "gateway".
@@ -141,6 +143,7 @@
 	}, p.obs)
 	p.operator = pwcontrol.NewFollower(platform.NewOperatorTable(client), pwcontrol.Config{
 		Name: "operator",
+		Pace: d.Bounds.Apply / operatorPaceShare,
 	}, p.obs, p.applyOperator)
 	p.servers = pwcontrol.NewFollower(platform.NewServerTable(client), pwcontrol.Config{
 		Name: "servers",
