Use one client for the platform in all processes

Cause: entries and agents had clients of their own for a table service, an object store, an instance list and a weight store that the platform doesn't have. What must last lives in the platform's store, which only the gateway could speak to.

Change: platform/rows.go implements the product's table (get, list, commit with conditions) and objects over the store; the table service's, object store's, instance list's and weight store's clients go, with their stand-ins. Each process keeps a row in the store, which is removed when it ends; gateways, entries and agents share one type and one list. The list is read less often the longer it is, so that all processes make at most 500 calls a second for it. Settings: platform.store_address takes the place of four URLs; platform.concurrent_loads that of the weight store's limit.

What carries each capability: documents, marks, claims, leases: rows of the store; checkpoints: its objects; the instance list: the processes' rows; the limit of model loads: the setting. The engines load their weights themselves, as before.

Tests: the scripts of the old clients run against the new one and a stand-in of the store that the soak shares; the parts on weights and on the lag of a list that the platform keeps went with them, listing and leaving came in. Rows are limited to 64 KB and 200 bytes of key, as the platform's.

--- a/internal/cli/pwdaemon/daemon.go
+++ b/internal/cli/pwdaemon/daemon.go
@@ -49,11 +49,7 @@
 		_, err := io.WriteString(env.Out, "The settings are valid.\n")
 		return err
 	}
-	platform, err := pwprocess.NewPlatform(s)
-	if err != nil {
-		return err
-	}
-	return run(ctx, s, platform, pwprocess.Sockets{}, env.Err)
+	return run(ctx, s, pwprocess.NewPlatform(s), pwprocess.Sockets{}, env.Err)
 }
 
 // EntryOptions are the inputs of "entry".
--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwgateway"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 	"github.com/pomeloweir/pomeloweir/platform"
 )
 
@@ -159,11 +160,12 @@
 		return err
 	}
 	p.gateway.SetNotify(p.exchange.Notify)
-	directory := pwpeering.NewDirectory(platform.NewPeerTable(client), pwcontrol.Peer{
-		Instance:   d.Instance,
+	directory := pwpeering.NewDirectory(platform.NewInstanceTable(client), pwinstance.Instance{
+		ID:         pwrequest.InstanceID(d.Instance),
 		Address:    p.peerAddress(),
-		DataCentre: d.DataCentre,
-	}, p.exchange.Know, p.obs)
+		DataCentre: pwrequest.DataCentre(d.DataCentre),
+		Role:       pwinstance.RoleGateway,
+	}, p.know, p.obs)
 
 	// Background work ends after the last request.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -188,6 +190,13 @@
 	}
 }
 
+// know tells the exchange of another gateway.
+func (p *process) know(i pwinstance.Instance) {
+	if i.Role == pwinstance.RoleGateway {
+		p.exchange.Know(i.Address)
+	}
+}
+
 func (p *process) peerAddress() string {
 	return net.JoinHostPort(p.deployment.IP, fmt.Sprint(p.deployment.InternalPortFirst))
 }
--- a/internal/cli/pwplatform/platform.go
+++ b/internal/cli/pwplatform/platform.go
@@ -23,6 +23,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 	"github.com/pomeloweir/pomeloweir/platform"
 )
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		return unreachable(err)
 	}
-	peers, err := platform.NewPeerTable(client).List(ctx)
+	peers, err := platform.NewInstanceTable(client).List(ctx)
 	if err != nil {
 		return unreachable(err)
 	}
@@ -104,7 +105,7 @@
 		"reading the platform's store; check --store and whether this machine reaches it")
 }
 
-func status(operator []pwcontrol.Item[pwcontrol.OperatorRow], servers []pwcontrol.Item[pwcatalog.BackendServer], peers []pwcontrol.Item[pwcontrol.Peer]) Status {
+func status(operator []pwcontrol.Item[pwcontrol.OperatorRow], servers []pwcontrol.Item[pwcatalog.BackendServer], peers []pwcontrol.Item[pwinstance.Instance]) Status {
 	st := Status{
 		OutOfUse:   []string{},
 		Gateways:   []string{},
@@ -148,8 +149,8 @@
 	}
 	slices.SortFunc(st.Services, func(a, b Service) int { return cmp.Compare(a.Service, b.Service) })
 	for _, it := range peers {
-		if it.Err == nil {
-			st.Gateways = append(st.Gateways, it.Value.Instance)
+		if it.Err == nil && it.Value.Role == pwinstance.RoleGateway {
+			st.Gateways = append(st.Gateways, string(it.Value.ID))
 		}
 	}
 	return st
--- a/internal/fake/pwcapacity/processes.go
+++ b/internal/fake/pwcapacity/processes.go
@@ -16,7 +16,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // waitStep and waitLimit bound the wait for a state that a goroutine reaches.
--- a/internal/fake/pwcapacity/rows.go
+++ b/internal/fake/pwcapacity/rows.go
@@ -219,7 +219,7 @@
 	fileRelay      = "internal/state/pwgossip/relay.go"
 	fileClaim      = "internal/state/pwclaim/claim.go"
 	fileLease      = "internal/state/pwlease/lease.go"
-	fileInstances  = "internal/platform/pwinstance/client.go"
+	fileInstances  = "internal/node/pwpeering/directory.go"
 	filePlacement  = "internal/core/pwplacement/placement.go"
 	filePlacer     = "internal/state/pwplacer/placer.go"
 	fileGroup      = "internal/core/pwgroup/group.go"
--- a/internal/fake/pwcapacity/wire.go
+++ b/internal/fake/pwcapacity/wire.go
@@ -19,10 +19,10 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeer"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwtransport"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdirectory"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwgossip"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // traffic counts the bytes of connections in both directions, without the
--- a/internal/fake/pwexplore/explore.go
+++ b/internal/fake/pwexplore/explore.go
@@ -33,7 +33,7 @@
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwtable"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
 )
 
 // maxStates bounds an exploration; reaching it fails the test, because the
--- a/internal/fake/pwfakefleet/fleet.go
+++ b/internal/fake/pwfakefleet/fleet.go
@@ -30,9 +30,9 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwagent"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwclaim"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdocument"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // Options describes a fleet.
--- a/internal/fake/pwfakepeer/fleet.go
+++ b/internal/fake/pwfakepeer/fleet.go
@@ -28,10 +28,10 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeplatform"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwtable"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwgossip"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
 )
 
 // One-way latencies of the network.
--- a/internal/fake/pwfakeplacement/site.go
+++ b/internal/fake/pwfakeplacement/site.go
@@ -12,9 +12,9 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeplatform"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwtable"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwlease"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwplacer"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
 )
 
 // Site has one table, two backend servers with a guard each, and processes
--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeplatform"
 )
 
 const (
@@ -45,14 +47,14 @@
 	zone    string
 	address string
 	ledger  *ledger
-	store   *store
+	store   *pwfakeplatform.Store
 	srv     *http.Server
 	proxy   *proxy
 	born    int64
 }
 
 // startBackend starts a server and lists it.
-func startBackend(ctx context.Context, id, service, zone string, l *ledger, s *store) (*backend, error) {
+func startBackend(ctx context.Context, id, service, zone string, l *ledger, s *pwfakeplatform.Store) (*backend, error) {
 	b := &backend{
 		id:      id,
 		service: service,
@@ -82,7 +84,7 @@
 }
 
 func (b *backend) list(state string) {
-	b.store.put("servers", b.id, map[string]any{
+	b.store.Put("servers", b.id, map[string]any{
 		"service":           b.service,
 		"address":           b.address,
 		"zone":              b.zone,
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -28,6 +28,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeplatform"
 )
 
 const (
@@ -67,7 +69,7 @@
 type soak struct {
 	opts    Options
 	rnd     *rand.Rand
-	store   *store
+	store   *pwfakeplatform.Store
 	ledger  *ledger
 	entries []*entry
 	servers map[string]*backend
@@ -93,7 +95,7 @@
 	s := &soak{
 		opts:  opts,
 		rnd:   rand.New(rand.NewPCG(opts.Seed, 1)),
-		store: newStore(),
+		store: pwfakeplatform.NewStore(),
 		ledger: &ledger{
 			runs: make(map[string]int),
 		},
@@ -150,7 +152,7 @@
 		_ = srv.Serve(lis)
 	}()
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
-	s.store.put("op", "config", configuration(1, []string{"model", "desk"}))
+	s.store.Put("op", "config", configuration(1, []string{"model", "desk"}))
 	for i := range models + desks {
 		if err := s.addServer(ctx, i); err != nil {
 			return err
@@ -319,7 +321,7 @@
 	case 5:
 		return "store silent for " + pause.String(), func(ctx context.Context) { s.storeFault(ctx, "silent", pause) }
 	case 6:
-		return "store forgets its history", func(context.Context) { s.store.compact() }
+		return "store forgets its history", func(context.Context) { s.store.Compact() }
 	case 7:
 		return fmt.Sprintf("replace server %d after a crash", i), func(ctx context.Context) { s.replace(ctx, i, true) }
 	case 8:
@@ -382,10 +384,10 @@
 	s.signal(e, syscall.SIGCONT)
 }
 
-func (s *soak) storeFault(ctx context.Context, fault string, pause time.Duration) {
-	s.store.setFault(fault)
+func (s *soak) storeFault(ctx context.Context, fault pwfakeplatform.StoreFault, pause time.Duration) {
+	s.store.SetFault(fault)
 	sleep(ctx, pause)
-	s.store.setFault("")
+	s.store.SetFault("")
 }
 
 func (s *soak) replace(ctx context.Context, i int, crash bool) {
@@ -405,11 +407,11 @@
 		sleep(ctx, 3*time.Second)
 		old.crash()
 	}
-	s.store.put("servers", old.id, nil)
+	s.store.Put("servers", old.id, nil)
 }
 
 func (s *soak) heal() {
-	s.store.setFault("")
+	s.store.SetFault("")
 	for _, e := range s.entries {
 		s.signal(e, syscall.SIGCONT)
 	}
--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -56,16 +56,6 @@
 	EvacuatedDataCentre string
 }
 
-// Peer is another process of the system.
-type Peer struct {
-	Instance string `json:"instance"`
-	// Address is where it receives load reports, IP:PORT over UDP.
-	Address    string `json:"address"`
-	DataCentre string `json:"data_centre"`
-	// SeenMS is when it last wrote this row, by the store's clock.
-	SeenMS int64 `json:"seen_ms"`
-}
-
 // Defaults of a Config.
 const (
 	// DefaultWait is how long the store holds a watch. With the margin it bounds
--- a/internal/node/pwduty/duty.go
+++ b/internal/node/pwduty/duty.go
@@ -9,7 +9,7 @@
 //		Entry:     entry,
 //		Instances: instances,
 //		Agents:    agents,
-//		Weights:   weights,
+//		ConcurrentLoads: 2,
 //		Observer:  observer,
 //	})
 //	duties.Run(ctx) // until ctx ends
@@ -27,12 +27,11 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrouter"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwtable"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwweight"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdocument"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwlease"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwplacer"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
 )
 
 const (
@@ -73,19 +72,16 @@
 	Load(ctx context.Context, address string) (*pwrpc.LoadReport, error)
 }
 
-// Weights is the weight store.
-type Weights interface {
-	Limit(ctx context.Context) (pwweight.Limit, error)
-}
-
-// Parts are what the duties work with. Weights may be nil.
+// Parts are what the duties work with.
 type Parts struct {
 	Table     Table
 	Entry     EntryView
 	Instances InstanceView
 	Agents    AgentLink
-	Weights   Weights
-	Observer  *pwobserve.Observer
+	// ConcurrentLoads is the number of model loads that may run at once in all
+	// services; 0 loads nothing.
+	ConcurrentLoads int
+	Observer        *pwobserve.Observer
 }
 
 // Duties runs the lease holder role of one entry.
--- a/internal/node/pwduty/placement.go
+++ b/internal/node/pwduty/placement.go
@@ -14,8 +14,8 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdocument"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 const (
@@ -47,7 +47,7 @@
 	in := pwplacement.Snapshot{
 		Demand:         map[pwrequest.ModelID]float64{},
 		ServerCapacity: targetLoad,
-		MaxLoads:       p.maxLoads(ctx),
+		MaxLoads:       d.parts.ConcurrentLoads,
 	}
 	for _, m := range doc.Models {
 		in.Models = append(in.Models, pwplacement.Model{
@@ -71,7 +71,7 @@
 			in.Servers = append(in.Servers, p.server(doc, i, r))
 			addDemand(in.Demand, doc, r)
 		default:
-			// All services share the weight store's limit.
+			// All services share the limit.
 			in.MaxLoads -= len(r.LoadingModels)
 		}
 	}
@@ -79,19 +79,6 @@
 	return in, nil
 }
 
-// maxLoads returns the weight store's limit, or 0 while it is not known.
-func (p *placement) maxLoads(ctx context.Context) int {
-	if p.duties.parts.Weights == nil {
-		return 0
-	}
-	limit, err := p.duties.parts.Weights.Limit(ctx)
-	if err != nil {
-		p.duties.parts.Observer.Warn("limit of the weight store could not be read; nothing is loaded", err, "service", string(p.service))
-		return 0
-	}
-	return limit.Concurrent
-}
-
 // loads returns the reports that the entry has, and those of the service's
 // agents outside the entry's subset, which it reads. A server without a report
 // is left out, so it gets no order and does not count.
--- a/internal/node/pwentry/entry.go
+++ b/internal/node/pwentry/entry.go
@@ -41,9 +41,9 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrouter"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwclaim"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdocument"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // AgentClient is what an entry needs of an agent.
--- a/internal/node/pwentry/watcher.go
+++ b/internal/node/pwentry/watcher.go
@@ -9,7 +9,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrouter"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 const (
--- a/internal/node/pwpeer/peer.go
+++ b/internal/node/pwpeer/peer.go
@@ -24,9 +24,9 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwgossip"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // maxMessageBytes bounds one message. The largest carry changes.
--- a/internal/node/pwpeering/directory.go
+++ b/internal/node/pwpeering/directory.go
@@ -6,6 +6,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // Intervals of a Directory. Calls to the store have their price.
@@ -27,8 +28,8 @@
 
 // Table holds a row for each process.
 type Table interface {
-	List(ctx context.Context) (pwcontrol.Snapshot[pwcontrol.Peer], error)
-	Put(ctx context.Context, key string, p pwcontrol.Peer) error
+	List(ctx context.Context) (pwcontrol.Snapshot[pwinstance.Instance], error)
+	Put(ctx context.Context, key string, i pwinstance.Instance) error
 	// Remove drops a row if it still has the version.
 	Remove(ctx context.Context, key string, version int64) error
 }
@@ -36,16 +37,16 @@
 // Directory makes a process known and finds the others in the store.
 type Directory struct {
 	table Table
-	self  pwcontrol.Peer
-	know  func(address string)
+	self  pwinstance.Instance
+	know  func(pwinstance.Instance)
 	obs   *pwobserve.Observer
 	// writtenAt is when the own row was written; zero if it was not.
 	writtenAt time.Time
 }
 
-// NewDirectory returns the directory entry of a process. know is called with
-// the address of each process that is listed.
-func NewDirectory(table Table, self pwcontrol.Peer, know func(address string), obs *pwobserve.Observer) *Directory {
+// NewDirectory returns the directory entry of a process. know is called for
+// each process that is listed; it may be nil.
+func NewDirectory(table Table, self pwinstance.Instance, know func(pwinstance.Instance), obs *pwobserve.Observer) *Directory {
 	return &Directory{
 		table: table,
 		self:  self,
@@ -86,9 +87,11 @@
 		if it.Err != nil {
 			continue
 		}
-		d.know(it.Value.Address)
+		if d.know != nil {
+			d.know(it.Value)
+		}
 		old := snap.NowMS-it.Value.SeenMS > rowRetention.Milliseconds()
-		if old && it.Key != d.self.Instance {
+		if old && it.Key != string(d.self.ID) {
 			if err := d.table.Remove(ctx, it.Key, it.Version); err != nil {
 				d.obs.Warn("removing the row of a process", err, "instance_removed", it.Key)
 			}
@@ -98,9 +101,39 @@
 		return nil
 	}
 	d.self.SeenMS = snap.NowMS
-	if err := d.table.Put(ctx, d.self.Instance, d.self); err != nil {
+	if err := d.table.Put(ctx, string(d.self.ID), d.self); err != nil {
 		return err
 	}
 	d.writtenAt = time.Now()
 	return nil
 }
+
+// Instances returns the processes that are listed and have written their row
+// within its retention.
+func (d *Directory) Instances(ctx context.Context) ([]pwinstance.Instance, error) {
+	snap, err := d.table.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]pwinstance.Instance, 0, len(snap.Items))
+	for _, it := range snap.Items {
+		if it.Err == nil && snap.NowMS-it.Value.SeenMS <= rowRetention.Milliseconds() {
+			out = append(out, it.Value)
+		}
+	}
+	return out, nil
+}
+
+// Leave removes the row of a process that ends.
+func (d *Directory) Leave(ctx context.Context) error {
+	snap, err := d.table.List(ctx)
+	if err != nil {
+		return err
+	}
+	for _, it := range snap.Items {
+		if it.Key == string(d.self.ID) && it.Err == nil && it.Value.Address == d.self.Address {
+			return d.table.Remove(ctx, it.Key, it.Version)
+		}
+	}
+	return nil
+}
--- a/internal/node/pwprocess/agent.go
+++ b/internal/node/pwprocess/agent.go
@@ -19,12 +19,13 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeer"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsettings"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwclaim"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdocument"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwgossip"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwlease"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwplacer"
 )
@@ -46,7 +47,7 @@
 
 // RunAgent runs an agent until ctx ends, and then until its work has ended.
 func RunAgent(ctx context.Context, s *pwsettings.Settings, p Platform, sockets Sockets, log io.Writer) error {
-	i := newInjector(s, p, log)
+	i := newInjector(s, p, pwinstance.RoleAgent, log)
 	do.Provide(i, newAgent)
 	do.Provide(i, newAgentProcess)
 	proc, err := do.Invoke[*agentProcess](i)
@@ -68,10 +69,13 @@
 	if k.keeper != nil {
 		bg.run(k.keeper.Run)
 	}
+	directory := do.MustInvoke[*pwpeering.Directory](i)
+	bg.run(directory.Run)
 	bg.run(proc.node.Run)
 	bg.run(proc.agent.Run)
 	bg.run(proc.loop)
 	<-ctx.Done()
+	leave(ctx, directory, proc.obs)
 	return proc.shutdown(ctx, srv)
 }
 
--- a/internal/node/pwprocess/duties.go
+++ b/internal/node/pwprocess/duties.go
@@ -28,8 +28,8 @@
 			client: p.client,
 			scheme: p.scheme,
 		},
-		Weights:  platform.Weights,
-		Observer: do.MustInvoke[*pwobserve.Observer](i),
+		ConcurrentLoads: do.MustInvoke[*pwsettings.Settings](i).Platform.ConcurrentLoads,
+		Observer:        do.MustInvoke[*pwobserve.Observer](i),
 	}), nil
 }
 
--- a/internal/node/pwprocess/entry.go
+++ b/internal/node/pwprocess/entry.go
@@ -18,15 +18,16 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwoperator"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeer"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsecurity"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsettings"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwclaim"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdirectory"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdocument"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwgossip"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // maxAgentMessage bounds one message to an agent: a prompt and the tokens of
@@ -45,7 +46,7 @@
 // RunEntry runs an entry until ctx ends, and then until its requests have
 // ended.
 func RunEntry(ctx context.Context, s *pwsettings.Settings, p Platform, sockets Sockets, log io.Writer) error {
-	i := newInjector(s, p, log)
+	i := newInjector(s, p, pwinstance.RoleEntry, log)
 	store := pwdirectory.NewStore(pwdirectory.Config{})
 	do.ProvideValue(i, store)
 	do.Provide(i, newEntry)
@@ -89,11 +90,14 @@
 	if k.keeper != nil {
 		bg.run(k.keeper.Run)
 	}
+	directory := do.MustInvoke[*pwpeering.Directory](i)
+	bg.run(directory.Run)
 	bg.run(proc.node.Run)
 	bg.run(proc.entry.Run)
 	bg.run(proc.loop)
 	bg.run(duty.Run)
 	<-ctx.Done()
+	leave(ctx, directory, proc.obs)
 	return proc.shutdown(ctx, srv)
 }
 
--- a/internal/node/pwprocess/operators.go
+++ b/internal/node/pwprocess/operators.go
@@ -11,7 +11,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwoperator"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeer"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 const (
--- a/internal/node/pwprocess/process.go
+++ b/internal/node/pwprocess/process.go
@@ -27,17 +27,17 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrouter"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
-	"github.com/pomeloweir/pomeloweir/internal/node/pwduty"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeer"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsecurity"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsettings"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwtransport"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwtable"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwgossip"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
 )
 
 // Table is the table service.
@@ -47,17 +47,16 @@
 	Commit(ctx context.Context, writes ...pwtable.Write) (version uint64, err error)
 }
 
-// Instances is the instance list.
+// Instances is the list of processes.
 type Instances interface {
 	Instances(ctx context.Context) ([]pwinstance.Instance, error)
 }
 
-// Platform holds the platform's services. Objects and Weights may be nil.
+// Platform holds what the platform's store carries. Objects may be nil.
 type Platform struct {
 	Table     Table
 	Objects   pwentry.Objects
-	Instances Instances
-	Weights   pwduty.Weights
+	Processes pwpeering.Table
 }
 
 // Sockets are listeners that are already open. Those that are nil are opened
@@ -70,13 +69,24 @@
 const (
 	// listInterval is the period in which an entry passes the instance list on.
 	listInterval = 5 * time.Second
-	// listAge is the age up to which a reading serves everybody in the process.
+	// minListAge is the age up to which a reading serves everybody in the process.
 	// The list is the largest message of a process at the large size.
-	listAge = 9 * time.Second
+	minListAge = 9 * time.Second
+	// listReads is the number of calls a second to the store that all processes
+	// together spend on the list, a quarter of the store's rate of reads.
+	listReads = 500
+	// pageRows is the number of rows that the store hands out in one call.
+	pageRows = 500
 )
 
+// listAge is the age up to which a list of n instances is used.
+func listAge(n int) time.Duration {
+	pages := (n + pageRows - 1) / pageRows
+	return max(minListAge, time.Duration(n*pages)*time.Second/listReads)
+}
+
 // newInjector provides what entries and agents have in common.
-func newInjector(s *pwsettings.Settings, p Platform, logTo io.Writer) do.Injector {
+func newInjector(s *pwsettings.Settings, p Platform, role pwinstance.Role, logTo io.Writer) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, s)
 	do.ProvideValue(i, p)
@@ -84,8 +94,10 @@
 	do.Provide(i, newKeys)
 	do.Provide(i, newPeers)
 	do.Provide(i, func(do.Injector) (*pwchange.Log, error) { return pwchange.NewLog(p.Table), nil })
+	directory := pwpeering.NewDirectory(p.Processes, selfOf(s, role), nil, do.MustInvoke[*pwobserve.Observer](i))
+	do.ProvideValue(i, directory)
 	do.ProvideValue(i, &instanceCache{
-		source: p.Instances,
+		source: directory,
 	})
 	return i
 }
@@ -157,7 +169,7 @@
 	c.mu.Lock()
 	known, at := c.list, c.readAt
 	c.mu.Unlock()
-	if time.Since(at) < listAge {
+	if time.Since(at) < listAge(len(known)) {
 		return known, nil
 	}
 	list, err := c.source.Instances(ctx)
@@ -165,7 +177,7 @@
 		return nil, err
 	}
 	if len(list) == 0 && len(known) > 0 {
-		return nil, pwverdict.New(pwverdict.NotRun, pwverdict.CauseUnavailable, "the platform's instance list is empty, the last one had %d instances", len(known))
+		return nil, pwverdict.New(pwverdict.NotRun, pwverdict.CauseUnavailable, "the list of instances is empty, the last one had %d instances", len(known))
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -329,3 +341,15 @@
 	}
 	return self
 }
+
+// leaveTimeout bounds what a process that ends waits for the store.
+const leaveTimeout = time.Second
+
+// leave takes a process that ends off the list.
+func leave(ctx context.Context, d *pwpeering.Directory, obs *pwobserve.Observer) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTimeout)
+	defer cancel()
+	if err := d.Leave(ctx); err != nil {
+		obs.Warn("the row of this process stays until its retention ends", err)
+	}
+}
--- a/internal/node/pwsettings/overrides.go
+++ b/internal/node/pwsettings/overrides.go
@@ -9,21 +9,18 @@
 // precedence over the environment, and both over the file. Credentials cannot
 // be overridden, because arguments are visible to other users of the instance.
 type Overrides struct {
-	Instance     string   `help:"Instance identifier." env:"POMELOWEIR_INSTANCE" placeholder:"ID"`
-	DataCentre   string   `help:"Data centre of the instance." env:"POMELOWEIR_DATA_CENTRE" placeholder:"NAME"`
-	LogLevel     string   `help:"Least severity of log lines: debug, info, warn or error." env:"POMELOWEIR_LOG_LEVEL" placeholder:"LEVEL"`
-	Callers      string   `name:"listen-callers" help:"IP address and port for callers and operators." env:"POMELOWEIR_LISTEN_CALLERS" placeholder:"ADDRESS"`
-	Peers        string   `name:"listen-peers" help:"IP address and port for the system's other processes." env:"POMELOWEIR_LISTEN_PEERS" placeholder:"ADDRESS"`
-	Advertise    string   `help:"IP address and port at which other processes reach this one." env:"POMELOWEIR_ADVERTISE" placeholder:"ADDRESS"`
-	Table        string   `name:"table-url" help:"Base URL of the table service." env:"POMELOWEIR_TABLE_URL" placeholder:"URL"`
-	ObjectStore  string   `name:"object-store-url" help:"Base URL of the object store." env:"POMELOWEIR_OBJECT_STORE_URL" placeholder:"URL"`
-	InstanceList string   `name:"instance-list-url" help:"Base URL of the instance list." env:"POMELOWEIR_INSTANCE_LIST_URL" placeholder:"URL"`
-	WeightStore  string   `name:"weight-store-url" help:"Base URL of the weight store." env:"POMELOWEIR_WEIGHT_STORE_URL" placeholder:"URL"`
-	Seeds        []string `name:"seed" help:"Peer that is asked first for the newest configuration; may be given several times." env:"POMELOWEIR_SEEDS" placeholder:"ADDRESS"`
-	Certificate  string   `name:"tls-certificate" help:"PEM file of the process's certificate." env:"POMELOWEIR_TLS_CERTIFICATE" placeholder:"FILE"`
-	Key          string   `name:"tls-key" help:"PEM file of the certificate's private key." env:"POMELOWEIR_TLS_KEY" placeholder:"FILE"`
-	CA           string   `name:"tls-ca" help:"PEM file of the certificate authorities of the system's processes." env:"POMELOWEIR_TLS_CA" placeholder:"FILE"`
-	AgentURL     string   `name:"agent-url" help:"Base URL of the engine or plain service beside the agent." env:"POMELOWEIR_AGENT_URL" placeholder:"URL"`
+	Instance    string   `help:"Instance identifier." env:"POMELOWEIR_INSTANCE" placeholder:"ID"`
+	DataCentre  string   `help:"Data centre of the instance." env:"POMELOWEIR_DATA_CENTRE" placeholder:"NAME"`
+	LogLevel    string   `help:"Least severity of log lines: debug, info, warn or error." env:"POMELOWEIR_LOG_LEVEL" placeholder:"LEVEL"`
+	Callers     string   `name:"listen-callers" help:"IP address and port for callers and operators." env:"POMELOWEIR_LISTEN_CALLERS" placeholder:"ADDRESS"`
+	Peers       string   `name:"listen-peers" help:"IP address and port for the system's other processes." env:"POMELOWEIR_LISTEN_PEERS" placeholder:"ADDRESS"`
+	Advertise   string   `help:"IP address and port at which other processes reach this one." env:"POMELOWEIR_ADVERTISE" placeholder:"ADDRESS"`
+	Store       string   `name:"store-address" help:"IP address and port of the platform's store." env:"POMELOWEIR_STORE_ADDRESS" placeholder:"ADDRESS"`
+	Seeds       []string `name:"seed" help:"Peer that is asked first for the newest configuration; may be given several times." env:"POMELOWEIR_SEEDS" placeholder:"ADDRESS"`
+	Certificate string   `name:"tls-certificate" help:"PEM file of the process's certificate." env:"POMELOWEIR_TLS_CERTIFICATE" placeholder:"FILE"`
+	Key         string   `name:"tls-key" help:"PEM file of the certificate's private key." env:"POMELOWEIR_TLS_KEY" placeholder:"FILE"`
+	CA          string   `name:"tls-ca" help:"PEM file of the certificate authorities of the system's processes." env:"POMELOWEIR_TLS_CA" placeholder:"FILE"`
+	AgentURL    string   `name:"agent-url" help:"Base URL of the engine or plain service beside the agent." env:"POMELOWEIR_AGENT_URL" placeholder:"URL"`
 }
 
 // applyTo sets the overridden fields in a decoded settings file and returns
@@ -42,10 +39,7 @@
 		{"listen.callers", "listen-callers", o.Callers},
 		{"listen.peers", "listen-peers", o.Peers},
 		{"listen.advertise", "advertise", o.Advertise},
-		{"platform.table_url", "table-url", o.Table},
-		{"platform.object_store_url", "object-store-url", o.ObjectStore},
-		{"platform.instance_list_url", "instance-list-url", o.InstanceList},
-		{"platform.weight_store_url", "weight-store-url", o.WeightStore},
+		{"platform.store_address", "store-address", o.Store},
 		{"tls.certificate_file", "tls-certificate", o.Certificate},
 		{"tls.key_file", "tls-key", o.Key},
 		{"tls.ca_file", "tls-ca", o.CA},
--- a/internal/node/pwsettings/parse.go
+++ b/internal/node/pwsettings/parse.go
@@ -125,10 +125,7 @@
 	}
 	c.checkListen(s)
 	c.checkTLS(s)
-	c.checkURL("platform.table_url", s.Platform.TableURL)
-	c.checkURL("platform.object_store_url", s.Platform.ObjectStoreURL)
-	c.checkURL("platform.instance_list_url", s.Platform.InstanceListURL)
-	c.checkURL("platform.weight_store_url", s.Platform.WeightStoreURL)
+	c.checkAddress("platform.store_address", s.Platform.StoreAddress)
 	for i, seed := range s.Seeds {
 		c.checkPeer(fmt.Sprintf("seeds[%d]", i), seed)
 	}
--- a/internal/node/pwsettings/settings.go
+++ b/internal/node/pwsettings/settings.go
@@ -62,13 +62,10 @@
 	Advertise string `json:"advertise,omitempty" jsonschema:"minLength=1,maxLength=64" jsonschema_description:"IP address and port at which other processes reach this one; default: that of peers."`
 }
 
-// Platform holds the base URLs of the platform's services. One that is left
-// out is not used.
+// Platform says how the platform's services are used.
 type Platform struct {
-	TableURL        string `json:"table_url,omitempty" jsonschema:"minLength=1,maxLength=500" jsonschema_description:"Table service. Without it no change is accepted and calls that run at most once are refused."`
-	ObjectStoreURL  string `json:"object_store_url,omitempty" jsonschema:"minLength=1,maxLength=500" jsonschema_description:"Object store. Without it long prompts have no checkpoints."`
-	InstanceListURL string `json:"instance_list_url,omitempty" jsonschema:"minLength=1,maxLength=500" jsonschema_description:"List of live and leaving instances."`
-	WeightStoreURL  string `json:"weight_store_url,omitempty" jsonschema:"minLength=1,maxLength=500" jsonschema_description:"Store of model weights."`
+	StoreAddress    string `json:"store_address,omitempty" jsonschema:"minLength=1,maxLength=64" jsonschema_description:"IP address and port of the platform's store. Without it no change is accepted, calls that run at most once are refused, and no other process is found."`
+	ConcurrentLoads int    `json:"concurrent_loads,omitempty" jsonschema:"minimum=0,maximum=1000" jsonschema_description:"Model loads that may run at once in all services; 0 loads nothing."`
 	TimeoutMS       int64  `json:"timeout_ms,omitempty" jsonschema:"minimum=10,maximum=60000,default=2000" jsonschema_description:"Longest time of one call to the platform; unit: milliseconds."`
 }
 
--- a/internal/state/pwchange/log.go
+++ b/internal/state/pwchange/log.go
@@ -13,8 +13,8 @@
 	"github.com/samber/lo"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwtable"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwdocument"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
 )
 
 // Rows of the log in the table.
--- a/internal/state/pwclaim/claim.go
+++ b/internal/state/pwclaim/claim.go
@@ -70,7 +70,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwtable"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
 )
 
 // Defaults of Config and limits.
--- a/internal/state/pwclaim/sweep.go
+++ b/internal/state/pwclaim/sweep.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwtable"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
 )
 
 // MaxSweepRows is the largest number of rows that one sweep reads.
--- a/internal/state/pwdirectory/directory.go
+++ b/internal/state/pwdirectory/directory.go
@@ -24,7 +24,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // Defaults of Config and limits.
--- a/internal/state/pwgossip/exchange.go
+++ b/internal/state/pwgossip/exchange.go
@@ -11,8 +11,8 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // Bounds of the exchange with one peer.
--- a/internal/state/pwgossip/gossip.go
+++ b/internal/state/pwgossip/gossip.go
@@ -59,8 +59,8 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // Defaults of Options.
--- a/internal/state/pwgossip/loops.go
+++ b/internal/state/pwgossip/loops.go
@@ -9,8 +9,8 @@
 	"github.com/samber/lo"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // Times and bounds of the loops.
--- a/internal/state/pwgossip/view.go
+++ b/internal/state/pwgossip/view.go
@@ -10,7 +10,7 @@
 	"github.com/samber/lo"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
-	"github.com/pomeloweir/pomeloweir/internal/platform/pwinstance"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
 
 // Backoff of peers that do not answer.
--- a/internal/platform/pwtable/table.go
+++ b/internal/state/pwtable/table.go
@@ -27,8 +27,20 @@
 // have taken effect, or may still do so.
 package pwtable
 
-// MaxValueBytes is the largest value that a row may hold.
-const MaxValueBytes = 1 << 20
+import "github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+
+// Limits of the platform's store.
+const (
+	// MaxValueBytes is the largest value that a row may hold.
+	MaxValueBytes = 64 << 10
+	// MaxKeyBytes is the longest key.
+	MaxKeyBytes = 200
+	// MaxListRows is the largest limit of List.
+	MaxListRows = 500
+	// MaxWrites is the largest number of writes in one commit: each takes two of
+	// the 100 entries of a transaction, its condition and itself.
+	MaxWrites = 50
+)
 
 // Row is one row of the table.
 type Row struct {
@@ -50,3 +62,27 @@
 	// Delete removes the row; Value is ignored.
 	Delete bool `json:"delete,omitempty"`
 }
+
+// CheckWrites checks the limits of a commit.
+func CheckWrites(writes []Write) error {
+	if len(writes) == 0 || len(writes) > MaxWrites {
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
+			"a commit has %d writes; allowed are 1 to %d", len(writes), MaxWrites)
+	}
+	for _, w := range writes {
+		if w.Key == "" || len(w.Key) > MaxKeyBytes || len(w.Value) > MaxValueBytes {
+			return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
+				"key %q has %d bytes and its value %d; allowed are 1 to %d and at most %d",
+				w.Key, len(w.Key), len(w.Value), MaxKeyBytes, MaxValueBytes)
+		}
+	}
+	return nil
+}
+
+// CheckLimit checks the limit of a list.
+func CheckLimit(limit int) error {
+	if limit < 1 || limit > MaxListRows {
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest, "limit is %d; allowed are 1 to %d", limit, MaxListRows)
+	}
+	return nil
+}
