Notice the return of a silent store before the stable window ends

A watch that a silent store took is never answered; losing it took 4 s, and the one after it another 4 s, while a process must know a new configuration 3 s after an outage.

Change: the follower asks a store that is away with short calls that wait for nothing (0.5, 0.5, 1.5 s), and holds a watch for the stable window less 0.8 s instead of always 3.5 s.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -57,7 +57,11 @@
 	// serverPaceShare and operatorPaceShare are the parts of the time in which a
 	// leaving server or a configuration must be known, in which rows gather that
 	// change one after the other.
-	serverPaceShare   = 3
+	serverPaceShare = 3
+	// minWatch bounds the calls to the store; watchSlack is the time for the call
+	// that follows a lost one.
+	minWatch          = time.Second
+	watchSlack        = 300 * time.Millisecond
 	operatorPaceShare = 5
 )
 
@@ -144,10 +148,12 @@
 	}, p.obs)
 	p.operator = pwcontrol.NewFollower(platform.NewOperatorTable(client), pwcontrol.Config{
 		Name: "operator",
+		Wait: watchTime(d.Bounds),
 		Pace: d.Bounds.Apply / operatorPaceShare,
 	}, p.obs, p.applyOperator)
 	p.servers = pwcontrol.NewFollower(platform.NewServerTable(client), pwcontrol.Config{
 		Name: "servers",
+		Wait: watchTime(d.Bounds),
 		Pace: d.Bounds.Drain / serverPaceShare,
 	}, p.obs, p.gateway.Servers)
 	p.gateway.SetContact(p.operator.LastContact)
@@ -183,6 +189,12 @@
 	return p.serve(ctx)
 }
 
+// watchTime returns how long the store holds a watch. One that is lost must have
+// ended before the stable window after an outage has.
+func watchTime(b pwdeployment.Bounds) time.Duration {
+	return max(minWatch, b.StableWindow-pwcontrol.DefaultMargin-watchSlack)
+}
+
 func (p *process) applyOperator(items []pwcontrol.Item[pwcontrol.OperatorRow], _ time.Time) {
 	p.gateway.Operator(items, platform.DataCentreOf)
 	if p.gateway.Configured() {
--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -59,8 +59,9 @@
 // Defaults of a Config.
 const (
 	// DefaultWait is how long the store holds a watch. With the margin it bounds
-	// the time until a silent store or connection is noticed.
-	DefaultWait   = 3500 * time.Millisecond
+	// the time until a silent store or connection is noticed, which must be less
+	// than the platform's shortest stable window, 3 s.
+	DefaultWait   = 2200 * time.Millisecond
 	DefaultMargin = 500 * time.Millisecond
 	// DefaultListTimeout bounds a listing; large tables take several calls.
 	DefaultListTimeout = 1500 * time.Millisecond
@@ -102,6 +103,10 @@
 	return cfg
 }
 
+// probeTimeouts bound the calls to a store that has been lost, in turn: a call
+// that a silent store took is never answered, and a slow store needs some time.
+var probeTimeouts = []time.Duration{500 * time.Millisecond, 500 * time.Millisecond, 1500 * time.Millisecond}
+
 // Apply receives changed rows in order. Rows that were removed while the store
 // was away may be entries that expired: a living owner writes them again until
 // backBy. It is zero when the store was not away.
@@ -121,6 +126,8 @@
 	listed  bool
 
 	away bool
+	// probes counts the calls since the store was lost.
+	probes int
 	// backBy is set while the first answer after an outage is handed on.
 	backBy time.Time
 	// lastContact is the time since start, so that a step of the clock has no effect.
@@ -172,7 +179,7 @@
 			f.away = true
 			f.obs.Warn("store lost", err, "table", f.cfg.Name)
 		}
-		if time.Since(began) >= f.cfg.MaxBackoff {
+		if time.Since(began) >= probeTimeouts[0] {
 			// The time-out of a silent store was pause enough.
 			backoff = f.cfg.MinBackoff
 		}
@@ -186,9 +193,14 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.Wait+f.cfg.Margin)
+	wait, timeout := f.cfg.Wait, f.cfg.Wait+f.cfg.Margin
+	if f.away {
+		wait, timeout = 0, probeTimeouts[f.probes%len(probeTimeouts)]
+		f.probes++
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	snap, err := f.source.Watch(ctx, f.version, f.cfg.Wait)
+	snap, err := f.source.Watch(ctx, f.version, wait)
 	if err != nil {
 		return err
 	}
@@ -248,7 +260,7 @@
 	now := time.Now()
 	f.lastContact.Store(max(1, int64(now.Sub(f.start))))
 	if f.away {
-		f.away = false
+		f.away, f.probes = false, 0
 		f.backBy = now.Add(f.cfg.ReturnWindow)
 		f.obs.Info("store is back", "table", f.cfg.Name)
 	}
--- a/internal/node/pwcontrol/control_test.go
+++ b/internal/node/pwcontrol/control_test.go
@@ -316,3 +316,24 @@
 		}
 	})
 }
+
+// A call that a silent store has taken is never answered, so that the next ones
+// must not wait for as long as a watch: found on mix --seed 425693410418 of
+// tourou-net (CONFIG), where a watch began just before the store returned.
+func TestReturnOfASilentStoreIsNoticedInTime(t *testing.T) {
+	const within = 3 * time.Second // the platform's shortest stable window
+	for outage := 4 * time.Second; outage <= 9*time.Second; outage += 250 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			follow(t, func(s *table, v *view, _ *Follower[string]) {
+				s.set("a", "1")
+				time.Sleep(time.Second)
+				s.with(func() { s.silent = true })
+				time.Sleep(outage)
+				s.set("a", "2")
+				s.with(func() { s.silent = false })
+				time.Sleep(within)
+				want(t, v, "a=2")
+			})
+		})
+	}
+}
