Hand on the place of a caller that left, and test how long memory is held

Pool.Forget and Fleet.Server were called by nothing; the store's rates and the descriptors were decoded and read by nothing.

Change: acquire gives such a place back through dispatcher.with. The chaos scenario tells when a crashing request crashed engines and when its entry died, so that a failure explains itself.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -331,15 +331,6 @@
 	f.ranked[s.info.Service] = slices.DeleteFunc(slices.Clone(ranked), func(o *server) bool { return o == s })
 }
 
-// Server returns the entry of a server.
-func (f *Fleet) Server(id string) (pwcatalog.BackendServer, bool) {
-	s := f.servers[id]
-	if s == nil {
-		return pwcatalog.BackendServer{}, false
-	}
-	return s.info, true
-}
-
 // SetEvacuated sets whether a data centre's servers get no new work.
 func (f *Fleet) SetEvacuated(dataCentre string, evacuated bool) {
 	if evacuated {
--- a/internal/fake/pwfakeengine/engine.go
+++ b/internal/fake/pwfakeengine/engine.go
@@ -151,6 +151,8 @@
 	WrongGiven int64
 	// RequestCrashes counts the crashes that CrashOn caused.
 	RequestCrashes int64
+	// RequestCrashTimes are when they happened.
+	RequestCrashTimes []time.Time
 	// LastStart is when the last attempt started. Work of a group, whose member
 	// was reserved earlier, does not count.
 	LastStart time.Time
--- a/internal/fake/pwfakeengine/lanes.go
+++ b/internal/fake/pwfakeengine/lanes.go
@@ -142,6 +142,7 @@
 	}
 	if e.crashOn[s.gen.Fingerprint] {
 		e.stats.RequestCrashes++
+		e.stats.RequestCrashTimes = append(e.stats.RequestCrashTimes, time.Now())
 		e.crash(now, "crashed on a request")
 		return
 	}
--- a/internal/fake/pwmeasure/chaos.go
+++ b/internal/fake/pwmeasure/chaos.go
@@ -62,6 +62,11 @@
 	// crashing is the prompt that crashes every engine that runs it.
 	crashing pwworkload.Arrival
 
+	// began is when the scenario began, and diedAt when its entry died; both
+	// explain crashes.
+	began  time.Time
+	diedAt time.Time
+
 	mu       sync.Mutex
 	dead     map[int]bool
 	verdicts map[string][]pwverdict.Verdict // replies to each reservation
@@ -74,6 +79,7 @@
 func RunChaos(ctx context.Context, s *Current, org pwworkload.Organisation, seed uint64) *Chaos {
 	c := &Chaos{
 		Faults:   map[string]int{},
+		began:    time.Now(),
 		system:   s,
 		org:      org,
 		rng:      rand.New(rand.NewPCG(seed, 0x6368616f73)),
@@ -255,6 +261,7 @@
 	if len(c.dead) == 0 {
 		i := c.rng.IntN(c.system.fleet.Entries())
 		c.dead[i] = true
+		c.diedAt = time.Now()
 		c.system.fleet.KillEntry(i)
 	}
 	return nothing
@@ -339,7 +346,15 @@
 		c.broken("5: %d attempts were resumed with wrong tokens", n)
 	}
 	if n := sum(func(s pwfakeengine.Stats) int64 { return s.RequestCrashes }); n > crashesAllowed {
-		c.broken("a crashing request crashed %d engines, allowed are %d", n, crashesAllowed)
+		var at []time.Duration
+		for _, s := range stats {
+			for _, t := range s.RequestCrashTimes {
+				at = append(at, t.Sub(c.began))
+			}
+		}
+		slices.Sort(at)
+		c.broken("a crashing request crashed %d engines, allowed are %d: at %v, an entry died at %v",
+			n, crashesAllowed, at, c.diedAt.Sub(c.began))
 	}
 	c.checkReservations()
 }
--- a/internal/node/pwdeployment/deployment.go
+++ b/internal/node/pwdeployment/deployment.go
@@ -37,11 +37,9 @@
 	ReuseAfter time.Duration
 }
 
-// Store is the platform's store and its rates for all processes together.
+// Store is the platform's store.
 type Store struct {
-	Address         string
-	WritesPerSecond float64
-	ReadsPerSecond  float64
+	Address string
 }
 
 // Deployment is the place of one process.
@@ -58,7 +56,6 @@
 	InternalPortFirst int
 	InternalPortLast  int
 	MemoryBytes       int64
-	Descriptors       int
 	// Heartbeat is the interval at which backend servers report.
 	Heartbeat time.Duration
 	Bounds    Bounds
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -209,16 +209,16 @@
 		return g.plan, g.booking, g.err
 	case <-ctx.Done():
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.drop(w)
-	select {
-	case g := <-w.granted:
-		if g.booking != nil {
-			g.booking.End()
+	d.with(func(time.Time, *pwfleet.Fleet) {
+		d.drop(w)
+		select {
+		case g := <-w.granted:
+			if g.booking != nil {
+				g.booking.End()
+			}
+		default:
 		}
-	default:
-	}
+	})
 	return pwfleet.Plan{}, nil, pwverdict.Wrap(context.Cause(ctx), pwverdict.NotRun, pwverdict.CauseDeadlineExceeded, "waiting for an engine")
 }
 
--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -108,11 +108,26 @@
 	full bool
 	// gone are servers whose address belongs to another one.
 	gone map[string]bool
+	// leases are the orders to each server, as they came.
+	leases map[string][]lease
 }
 
-func (o *orders) Reserve(_ context.Context, s pwcatalog.BackendServer, id string, tokens int64, _ time.Duration) (bool, error) {
+// lease is an order to hold memory from a moment on.
+type lease struct {
+	at   time.Time
+	hold time.Duration
+}
+
+func (o *orders) Reserve(_ context.Context, s pwcatalog.BackendServer, id string, tokens int64, hold time.Duration) (bool, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.leases == nil {
+		o.leases = make(map[string][]lease)
+	}
+	o.leases[s.ID] = append(o.leases[s.ID], lease{
+		at:   time.Now(),
+		hold: hold,
+	})
 	if o.gone[s.ID] {
 		return false, pwverdict.New(pwverdict.NotRun, pwverdict.CauseOutOfService, "%s is gone", s.ID)
 	}
@@ -622,6 +637,41 @@
 
 // A server that is gone, while the store can't tell, must not be asked for
 // memory again: found on trouble-1 of kilo-andino (request d77633df).
+// The process that holds memory may die at any moment: what it set aside must
+// be free within the bound then, and must not end while it lives, also when one
+// renewal is lost.
+func TestReservationEndsSoonAfterItsOwner(t *testing.T) {
+	const free = 4 * time.Second // the bound that newSite sets
+	synctest.Test(t, func(t *testing.T) {
+		backends := make(map[string]*backend)
+		for i := range 20 {
+			backends[fmt.Sprintf("model-%d", i)] = replies(paced(700 * time.Millisecond))
+		}
+		s := newSite(t, backends)
+		if w, cut := s.do(t.Context(), "/note/1", "X-Token-Counts", "400000,500", "X-Deadline-Milliseconds", "9000"); cut && w.Code != http.StatusOK {
+			t.Fatalf("status %d, cut %t", w.Code, cut)
+		}
+		s.orders.mu.Lock()
+		defer s.orders.mu.Unlock()
+		if len(s.orders.leases) < 2 {
+			t.Fatalf("%d servers hold memory", len(s.orders.leases))
+		}
+		for id, list := range s.orders.leases {
+			if len(list) < 3 {
+				t.Errorf("%s: %d orders, want renewals", id, len(list))
+			}
+			for i, l := range list {
+				if l.hold <= 0 || l.hold >= free {
+					t.Errorf("%s: memory is held for %v after its owner's death, allowed are %v", id, l.hold, free)
+				}
+				if i > 0 && l.at.Sub(list[i-1].at) > l.hold/2 {
+					t.Errorf("%s: renewed after %v of %v", id, l.at.Sub(list[i-1].at), l.hold)
+				}
+			}
+		}
+	})
+}
+
 func TestReservationAvoidsServersThatAreGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		backends := make(map[string]*backend)
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -173,17 +173,6 @@
 	return c
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(addr string) {
-	p.mu.Lock()
-	list := p.idle[addr]
-	delete(p.idle, addr)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.Close()
-	}
-}
-
 // Close closes the idle connections; those in use are closed when they are released.
 func (p *Pool) Close() {
 	p.mu.Lock()
