Let the soak's store and clock misbehave

Change: the stand-in of the store is slow, carries calls out and loses their answers, garbles answers, and has a clock that is off by up to an hour; rows of a foreign writer stand among servers, processes and in place of the configuration. The soak draws these beside its other faults.

--- a/internal/fake/pwfakeplatform/store.go
+++ b/internal/fake/pwfakeplatform/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,8 +30,17 @@
 const (
 	StoreBusy   StoreFault = "busy"
 	StoreSilent StoreFault = "silent"
+	// StoreSlow answers each call late.
+	StoreSlow StoreFault = "slow"
+	// StoreLost carries calls out and loses their answers.
+	StoreLost StoreFault = "lost"
+	// StoreGarbled answers with bytes that end in the middle.
+	StoreGarbled StoreFault = "garbled"
 )
 
+// slowAnswer is the time that each call of a slow store takes.
+const slowAnswer = 300 * time.Millisecond
+
 // row is a row as the store spells it.
 type row struct {
 	Table   string `json:"table"`
@@ -53,6 +63,8 @@
 	history int64
 	changed chan struct{}
 	fault   StoreFault
+	// clock is what the store's clock is off by.
+	clock time.Duration
 }
 
 // NewStore returns an empty store without faults.
@@ -72,6 +84,24 @@
 	s.fault = fault
 }
 
+// SetClock makes the store's clock differ from that of this process.
+func (s *Store) SetClock(off time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clock = off
+}
+
+// Spoil writes a row whose value is not JSON, as another writer might.
+func (s *Store) Spoil(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(&row{
+		Table: table,
+		Key:   key,
+		Value: []byte("\x00not JSON"),
+	})
+}
+
 // Compact drops the history.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -126,7 +156,22 @@
 	case StoreSilent:
 		<-r.Context().Done()
 		return
+	case StoreSlow:
+		time.Sleep(slowAnswer)
+	case StoreLost:
+		s.serve(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	case StoreGarbled:
+		rec := httptest.NewRecorder()
+		s.serve(rec, r)
+		// The caller may have left.
+		_, _ = w.Write(rec.Body.Bytes()[:rec.Body.Len()/2])
+		return
 	}
+	s.serve(w, r)
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	path, id, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/v1/"), "/")
 	switch path {
 	case "rows-get":
@@ -178,14 +223,14 @@
 			finish(w, nil, err)
 			return
 		}
-		answer(w, rows, 0)
+		s.answer(w, rows, 0)
 		return
 	}
 	s.mu.Lock()
 	rows, version := s.since(r.FormValue("table"), 0, false), s.version
 	s.mu.Unlock()
 	slices.SortFunc(rows, func(a, b *row) int { return strings.Compare(a.Key, b.Key) })
-	answer(w, rows, version)
+	s.answer(w, rows, version)
 }
 
 // state returns rows of the product's own state.
@@ -249,28 +294,37 @@
 			finish(w, nil, err)
 			return
 		}
-		answer(w, nil, int64(version))
+		s.answer(w, nil, int64(version))
 		return
 	}
+	version, ok := s.commit(expect, tx.Writes, tx.Remove)
+	if !ok {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		return
+	}
+	s.answer(w, nil, version)
+}
+
+// commit applies all changes to other tables, or none if a row has another version.
+func (s *Store) commit(expect map[string]int64, writes []*row, remove []row) (version int64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for key, version := range expect {
-		if known := s.rows[key]; known == nil && version != 0 || known != nil && (known.Version != version || known.Removed) {
-			w.WriteHeader(http.StatusPreconditionFailed)
-			return
+	for key, want := range expect {
+		if known := s.rows[key]; known == nil && want != 0 || known != nil && (known.Version != want || known.Removed) {
+			return 0, false
 		}
 	}
-	for _, e := range tx.Writes {
+	for _, e := range writes {
 		s.write(e)
 	}
-	for _, e := range tx.Remove {
+	for _, e := range remove {
 		s.write(&row{
 			Table:   e.Table,
 			Key:     e.Key,
 			Removed: true,
 		})
 	}
-	answer(w, nil, s.version)
+	return s.version, true
 }
 
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
@@ -290,13 +344,13 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(rows) > 0:
-			answer(w, rows, version)
+			s.answer(w, rows, version)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			answer(w, nil, version)
+			s.answer(w, nil, version)
 			return
 		case <-r.Context().Done():
 			return
@@ -304,7 +358,10 @@
 	}
 }
 
-func answer(w http.ResponseWriter, rows []*row, version int64) {
+func (s *Store) answer(w http.ResponseWriter, rows []*row, version int64) {
+	s.mu.Lock()
+	now := time.Now().Add(s.clock)
+	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	if rows == nil {
 		rows = []*row{}
@@ -314,6 +371,6 @@
 		"rows":           rows,
 		"record-version": version,
 		"has-more":       false,
-		"now-ms":         time.Now().UnixMilli(),
+		"now-ms":         now.UnixMilli(),
 	})
 }
--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -279,7 +279,7 @@
 }
 
 // configuration is what the operator writes.
-func configuration(version int, services []string) json.RawMessage {
+func configuration(version int64, services []string) json.RawMessage {
 	routes := make([]map[string]any, 0, 3)
 	add := func(prefix, kind, service string, timeout int, more map[string]any) {
 		r := map[string]any{
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -26,6 +26,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -74,6 +75,8 @@
 	entries []*entry
 	servers map[string]*backend
 	front   string
+	// version is that of the newest configuration.
+	version atomic.Int64
 
 	mu     sync.Mutex
 	report Report
@@ -152,7 +155,7 @@
 		_ = srv.Serve(lis)
 	}()
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
-	s.store.Put("op", "config", configuration(1, []string{"model", "desk"}))
+	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
 	for i := range models + desks {
 		if err := s.addServer(ctx, i); err != nil {
 			return err
@@ -307,7 +310,7 @@
 	e := s.entries[s.rnd.IntN(len(s.entries))]
 	i := s.rnd.IntN(models + desks)
 	pause := time.Duration(300+s.rnd.IntN(1500)) * time.Millisecond
-	switch s.rnd.IntN(11) {
+	switch s.rnd.IntN(17) {
 	case 0:
 		return fmt.Sprintf("kill entry %d", e.index), func(ctx context.Context) { s.restart(ctx, e, syscall.SIGKILL) }
 	case 1:
@@ -326,6 +329,26 @@
 		return fmt.Sprintf("replace server %d after a crash", i), func(ctx context.Context) { s.replace(ctx, i, true) }
 	case 8:
 		return fmt.Sprintf("replace server %d after draining", i), func(ctx context.Context) { s.replace(ctx, i, false) }
+	case 11:
+		return "store slow for " + pause.String(), func(ctx context.Context) { s.storeFault(ctx, pwfakeplatform.StoreSlow, pause) }
+	case 12:
+		return "store loses answers for " + pause.String(), func(ctx context.Context) { s.storeFault(ctx, pwfakeplatform.StoreLost, pause) }
+	case 13:
+		return "store garbles answers for " + pause.String(), func(ctx context.Context) { s.storeFault(ctx, pwfakeplatform.StoreGarbled, pause) }
+	case 14:
+		off := time.Duration(s.rnd.IntN(7200)-3600) * time.Second
+		return "store's clock off by " + off.String(), func(ctx context.Context) {
+			s.store.SetClock(off)
+			sleep(ctx, pause)
+			s.store.SetClock(0)
+		}
+	case 15:
+		return "foreign rows among servers and processes", func(context.Context) {
+			s.store.Spoil("servers", "i-foreign")
+			s.store.Spoil("pomeloweir-instances", "foreign")
+		}
+	case 16:
+		return "configuration spoilt for " + pause.String(), func(ctx context.Context) { s.spoilConfiguration(ctx, pause) }
 	case 9:
 		return fmt.Sprintf("reset connections of server %d for %s", i, pause), func(ctx context.Context) {
 			for end := time.Now().Add(pause); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, resetInterval) {
@@ -390,6 +413,14 @@
 	s.store.SetFault("")
 }
 
+// spoilConfiguration overwrites the operators' row and then writes a newer one.
+// The configuration before it stays in force meanwhile.
+func (s *soak) spoilConfiguration(ctx context.Context, pause time.Duration) {
+	s.store.Spoil("op", "config")
+	sleep(ctx, pause)
+	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
+}
+
 func (s *soak) replace(ctx context.Context, i int, crash bool) {
 	s.mu.Lock()
 	old := s.servers[fmt.Sprint(i)]
@@ -412,6 +443,7 @@
 
 func (s *soak) heal() {
 	s.store.SetFault("")
+	s.store.SetClock(0)
 	for _, e := range s.entries {
 		s.signal(e, syscall.SIGCONT)
 	}
