Keep excused requests isolated until they finish

Change: a request with a known crash runs in isolation until it has finished once, also while it is excused.

--- a/internal/core/pwquarantine/quarantine.go
+++ b/internal/core/pwquarantine/quarantine.go
@@ -18,7 +18,7 @@
 // that the order and number of exchanges don't change the result. All requests
 // on a server that died are counted at first and run in isolation. Those that
 // finish there are cleared; the responsible one crashes again, is refused, and
-// excuses the others.
+// excuses the others, which are then not refused for the crashes beside it.
 package pwquarantine
 
 import (
@@ -50,9 +50,10 @@
 
 // Decisions, from harmless to harmful.
 const (
-	// Normal means that no crash is counted.
+	// Normal means that no crash is known.
 	Normal Decision = iota
-	// Isolated means that the request may run only without others beside it.
+	// Isolated means that the request may run only without others beside it, until
+	// it has finished once.
 	Isolated
 	// Refused means that the request may not run.
 	Refused
@@ -193,10 +194,12 @@
 
 // Decide returns how a request with this fingerprint may run.
 func (t *Tracker) Decide(now time.Time, fingerprint uint64) Decision {
-	switch n := len(t.counted(now, fingerprint)); {
-	case n >= t.cfg.RefuseAfter:
+	switch {
+	case len(t.counted(now, fingerprint)) >= t.cfg.RefuseAfter:
 		return Refused
-	case n > 0:
+	case t.evidence(now, fingerprint).total > 0:
+		// An excused request may be the crashing one all the same: a server that
+		// ends by accident under a neighbour makes that one look responsible.
 		return Isolated
 	default:
 		return Normal
