--- a/internal/fake/pwcapacity/capacity.go
+++ b/internal/fake/pwcapacity/capacity.go
@@ -60,7 +60,7 @@
 	m := newMeter(o.Quick)
 	for _, step := range []func(context.Context, *meter) error{
 		measureState, measureEntry, measureAgent, measureDecisions, measureDocuments,
-		measureLists, measureSockets, measureExchange, measureWatches, measureGroups, measurePlacement, measureTable, measureFleets,
+		measureLists, measureSockets, measureExchange, measureWatches, measureGroups, measurePlacement, measureTable, measureFleets, measureGateway,
 	} {
 		if err := ctx.Err(); err != nil {
 			return nil, err
--- a/internal/fake/pwcapacity/capacity_test.go
+++ b/internal/fake/pwcapacity/capacity_test.go
@@ -97,7 +97,7 @@
 			}
 		}
 	}
-	for _, role := range []string{roleEntry, roleAgent, roleRelay, roleLease, roleTable, roleObjects} {
+	for _, role := range []string{roleGateway, roleEntry, roleAgent, roleRelay, roleLease, roleTable, roleObjects} {
 		if !roles[role] {
 			t.Errorf("role %s has no row", role)
 		}
@@ -138,6 +138,8 @@
 		{"pwagent", "defaultRetention", "5 * time.Minute"},
 		{"pwprocess", "listInterval", fmt.Sprint(listInterval, " * time.Second")},
 		{"pwdirectory", "holders", fmt.Sprint(recordCopies)},
+		{"pwpeering", "maxLoads", fmt.Sprint(peerLoads)},
+		{"pwpeering", "readInterval", fmt.Sprint(listOfProcesses, " * time.Second")},
 		{"pwgossip", "takeoverRanks", fmt.Sprint(takeoverRanks)},
 		{"pwgossip", "maxTableBackoff", fmt.Sprint(maxTableBackoff, " * time.Second")},
 		{"pwgossip", "hurryInterval", "100 * time.Millisecond"},
--- a/internal/fake/pwcapacity/rows.go
+++ b/internal/fake/pwcapacity/rows.go
@@ -36,6 +36,7 @@
 
 // Roles.
 const (
+	roleGateway = "gateway"
 	roleEntry   = "entry"
 	roleAgent   = "agent"
 	roleRelay   = "relay"
@@ -227,6 +228,7 @@
 
 // rows returns the projection of every role.
 func (p *projection) rows() []Row {
+	p.gatewayRows()
 	p.entryState()
 	p.entryWork()
 	p.entryTraffic()
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -392,3 +392,8 @@
 	p.start, p.sequence, p.heard = h.Start, h.Sequence, time.Now()
 	return true
 }
+
+// MessageBytes returns the size of a message that tells the load on so many servers.
+func MessageBytes(loads int) int {
+	return binary.Size(header{}) + min(loads, maxLoads)*binary.Size(record{})
+}
