Compress values that are larger than a row of the platform's store

Change: state/pwvalue compresses larger values on the way to the store. The stand-in of the table checks the store's limits.

--- a/internal/fake/pwfakeplatform/table.go
+++ b/internal/fake/pwfakeplatform/table.go
@@ -204,6 +204,9 @@
 	if t.takeFault(FaultOutage) {
 		return 0, outage()
 	}
+	if err := pwtable.CheckWrites(writes); err != nil {
+		return 0, err
+	}
 	if t.takeFault(FaultLostRequest) {
 		return 0, lostReply()
 	}
--- a/internal/node/pwprocess/platform.go
+++ b/internal/node/pwprocess/platform.go
@@ -9,6 +9,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsettings"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwtable"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwvalue"
 	"github.com/pomeloweir/pomeloweir/platform"
 )
 
@@ -25,7 +26,7 @@
 		Address: s.Platform.StoreAddress,
 	})
 	return Platform{
-		Table:     platform.NewRows(client, s.Platform.Timeout()),
+		Table:     pwvalue.New(platform.NewRows(client, s.Platform.Timeout())),
 		Objects:   platform.NewObjects(client, s.Platform.Timeout()),
 		Processes: platform.NewInstanceTable(client),
 	}
--- a/internal/state/pwtable/table.go
+++ b/internal/state/pwtable/table.go
@@ -31,12 +31,14 @@
 
 // Limits of the platform's store.
 const (
-	// MaxValueBytes is the largest value that a row may hold.
-	MaxValueBytes = 64 << 10
+	// MaxValueBytes is the largest value that a row may hold: the platform's 64 KiB
+	// count it in base64.
+	MaxValueBytes = 48 << 10
 	// MaxKeyBytes is the longest key.
 	MaxKeyBytes = 200
-	// MaxListRows is the largest limit of List.
-	MaxListRows = 500
+	// MaxListRows is the largest limit of List: the store's pages of 500 rows
+	// begin with the last row of the page before.
+	MaxListRows = 499
 	// MaxWrites is the largest number of writes in one commit: each takes two of
 	// the 100 entries of a transaction, its condition and itself.
 	MaxWrites = 50
