Tell once that the list of processes is lost, and ask for it less often

Change: one line when the list is lost and one when it is back; the pause doubles from 0.3 s to 1 s.

--- a/internal/node/pwpeering/directory.go
+++ b/internal/node/pwpeering/directory.go
@@ -18,9 +18,10 @@
 	renewInterval = 5 * time.Minute
 	// rowRetention is the age by the store's clock at which a row is removed.
 	rowRetention = 30 * time.Minute
-	// retryInterval is the pause after a call that failed.
-	retryInterval = 300 * time.Millisecond
-	callTimeout   = 2 * time.Second
+	// minRetry and maxRetry bound the pause after a call that failed; it doubles.
+	minRetry    = 300 * time.Millisecond
+	maxRetry    = time.Second
+	callTimeout = 2 * time.Second
 )
 
 // firstReadings are the pauses after the first readings of the list.
@@ -42,6 +43,8 @@
 	obs   *pwobserve.Observer
 	// writtenAt is when the own row was written; zero if it was not.
 	writtenAt time.Time
+	// away is set while the list can't be read.
+	away bool
 }
 
 // NewDirectory returns the directory entry of a process. know is called for
@@ -59,14 +62,25 @@
 func (d *Directory) Run(ctx context.Context) {
 	// Processes that start together write their rows after the first reading.
 	early := firstReadings
+	retry := minRetry
 	for ctx.Err() == nil {
 		pause := readInterval
 		if len(early) > 0 {
 			pause, early = early[0], early[1:]
 		}
-		if err := d.step(ctx); err != nil && ctx.Err() == nil {
-			d.obs.Warn("list of processes", err)
-			pause = retryInterval
+		switch err := d.step(ctx); {
+		case ctx.Err() != nil:
+			return
+		case err == nil && d.away:
+			d.away, retry = false, minRetry
+			d.obs.Info("list of processes is back")
+		case err != nil:
+			if !d.away {
+				d.away = true
+				d.obs.Warn("list of processes lost", err)
+			}
+			pause = retry
+			retry = min(2*retry, maxRetry)
 		}
 		select {
 		case <-ctx.Done():
