--- a/internal/fake/pwfakeplatform/platform_test.go
+++ b/internal/fake/pwfakeplatform/platform_test.go
@@ -50,7 +50,9 @@
 	table := platform.NewRows(client, callTimeout)
 	objects := platform.NewObjects(client, callTimeout)
 	instances := pwpeering.NewDirectory(platform.NewInstanceTable(client), pwinstance.Instance{
-		ID: pwrequest.InstanceID(value),
+		ID:      pwrequest.InstanceID(value),
+		Address: value + ":7000",
+		Role:    pwinstance.RoleGateway,
 	}, nil, pwobserve.Discard())
 	pause, err := time.ParseDuration("0" + wait)
 	if err != nil {
--- a/internal/state/pwvalue/value_test.go
+++ b/internal/state/pwvalue/value_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// A row of any bytes is either the value that was written or an error.
+func FuzzGet(f *testing.F) {
+	f.Add([]byte(`{"a":1}`))
+	f.Add([]byte{0x1f, 0x8b, 8, 0})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		rows := pwfakeplatform.NewTable()
+		if _, err := rows.Commit(t.Context(), pwtable.Write{
+			Key:   "a",
+			Value: raw,
+		}); err != nil {
+			t.Skip("not a row")
+		}
+		row, err := pwvalue.New(rows).Get(t.Context(), "a")
+		if err == nil && !bytes.HasPrefix(raw, []byte{0x1f, 0x8b}) && !bytes.Equal(row.Value, raw) {
+			t.Errorf("%q came back as %q", raw, row.Value)
+		}
+	})
+}
+
 func TestBrokenValueIsAnError(t *testing.T) {
 	rows := pwfakeplatform.NewTable()
 	if _, err := rows.Commit(t.Context(), pwtable.Write{
