Set defaults of configurations in one place

Change: core/pwdefault.Positive serves all of them. Behaviour is the same.

Measured: the tests of the packages pass.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -28,6 +28,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcost"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 )
 
 // Defaults of a Config.
@@ -101,35 +102,28 @@
 	FullPause          time.Duration
 }
 
-func orDefault[T cmp.Ordered](v *T, def T) {
-	var zero T
-	if *v <= zero {
-		*v = def
-	}
-}
-
 func (cfg Config) withDefaults() Config {
-	orDefault(&cfg.ShortReadMS, DefaultShortReadMS)
-	orDefault(&cfg.ShortPassMS, DefaultShortPassMS)
-	orDefault(&cfg.PartMS, DefaultPartMS)
-	orDefault(&cfg.LaneMS, DefaultLaneMS)
-	orDefault(&cfg.TightGap, DefaultTightGap)
-	orDefault(&cfg.MediumGap, DefaultMediumGap)
-	orDefault(&cfg.LooseGap, DefaultLooseGap)
-	orDefault(&cfg.GapShare, DefaultGapShare)
-	orDefault(&cfg.SuspectMS, DefaultSuspectMS)
-	orDefault(&cfg.HeavyMS, DefaultHeavyMS)
-	orDefault(&cfg.MaxParts, DefaultMaxParts)
-	orDefault(&cfg.ShortFill, DefaultShortFill)
-	orDefault(&cfg.ProcessesPerEngine, DefaultProcessesPerEngine)
+	pwdefault.Positive(&cfg.ShortReadMS, DefaultShortReadMS)
+	pwdefault.Positive(&cfg.ShortPassMS, DefaultShortPassMS)
+	pwdefault.Positive(&cfg.PartMS, DefaultPartMS)
+	pwdefault.Positive(&cfg.LaneMS, DefaultLaneMS)
+	pwdefault.Positive(&cfg.TightGap, DefaultTightGap)
+	pwdefault.Positive(&cfg.MediumGap, DefaultMediumGap)
+	pwdefault.Positive(&cfg.LooseGap, DefaultLooseGap)
+	pwdefault.Positive(&cfg.GapShare, DefaultGapShare)
+	pwdefault.Positive(&cfg.SuspectMS, DefaultSuspectMS)
+	pwdefault.Positive(&cfg.HeavyMS, DefaultHeavyMS)
+	pwdefault.Positive(&cfg.MaxParts, DefaultMaxParts)
+	pwdefault.Positive(&cfg.ShortFill, DefaultShortFill)
+	pwdefault.Positive(&cfg.ProcessesPerEngine, DefaultProcessesPerEngine)
 	if cfg.Draw == nil {
 		cfg.Draw = rand.IntN
 	}
-	orDefault(&cfg.PeerExpiry, DefaultPeerExpiry)
-	orDefault(&cfg.MinSuspect, DefaultMinSuspect)
-	orDefault(&cfg.MaxSuspect, DefaultMaxSuspect)
-	orDefault(&cfg.NoHelpPause, DefaultNoHelpPause)
-	orDefault(&cfg.FullPause, DefaultFullPause)
+	pwdefault.Positive(&cfg.PeerExpiry, DefaultPeerExpiry)
+	pwdefault.Positive(&cfg.MinSuspect, DefaultMinSuspect)
+	pwdefault.Positive(&cfg.MaxSuspect, DefaultMaxSuspect)
+	pwdefault.Positive(&cfg.NoHelpPause, DefaultNoHelpPause)
+	pwdefault.Positive(&cfg.FullPause, DefaultFullPause)
 	return cfg
 }
 
--- a/internal/core/pwquarantine/quarantine.go
+++ b/internal/core/pwquarantine/quarantine.go
@@ -28,6 +28,7 @@
 
 	"github.com/tidwall/btree"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
@@ -130,16 +131,10 @@
 }
 
 func (cfg Config) withDefaults() Config {
-	if cfg.RefuseAfter <= 0 {
-		cfg.RefuseAfter = DefaultRefuseAfter
-	}
+	pwdefault.Positive(&cfg.RefuseAfter, DefaultRefuseAfter)
 	cfg.RefuseAfter = min(cfg.RefuseAfter, maxCrashes)
-	if cfg.Retention <= 0 {
-		cfg.Retention = DefaultRetention
-	}
-	if cfg.MaxFingerprints <= 0 {
-		cfg.MaxFingerprints = DefaultMaxFingerprints
-	}
+	pwdefault.Positive(&cfg.Retention, DefaultRetention)
+	pwdefault.Positive(&cfg.MaxFingerprints, DefaultMaxFingerprints)
 	return cfg
 }
 
--- a/internal/core/pwqueue/config.go
+++ b/internal/core/pwqueue/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 )
 
@@ -59,34 +60,20 @@
 }
 
 func (cfg Config) withDefaults() Config {
-	if cfg.WorkspaceRequests <= 0 {
-		cfg.WorkspaceRequests = DefaultWorkspaceRequests
-	}
-	if cfg.WorkspaceTokens <= 0 {
-		cfg.WorkspaceTokens = DefaultWorkspaceTokens
-	}
-	if cfg.TotalRequests <= 0 {
-		cfg.TotalRequests = DefaultTotalRequests
-	}
-	if cfg.TotalTokens <= 0 {
-		cfg.TotalTokens = DefaultTotalTokens
-	}
+	pwdefault.Positive(&cfg.WorkspaceRequests, DefaultWorkspaceRequests)
+	pwdefault.Positive(&cfg.WorkspaceTokens, DefaultWorkspaceTokens)
+	pwdefault.Positive(&cfg.TotalRequests, DefaultTotalRequests)
+	pwdefault.Positive(&cfg.TotalTokens, DefaultTotalTokens)
 	for _, share := range cfg.ClassShares {
 		if !(share > 0) {
 			cfg.ClassShares = DefaultClassShares
 		}
 	}
-	if cfg.AgeingInterval <= 0 {
-		cfg.AgeingInterval = DefaultAgeingInterval
-	}
+	pwdefault.Positive(&cfg.AgeingInterval, DefaultAgeingInterval)
 	if cfg.AgeingMax < 1 {
 		cfg.AgeingMax = DefaultAgeingMax
 	}
-	if cfg.RateWindow <= 0 {
-		cfg.RateWindow = DefaultRateWindow
-	}
-	if cfg.MinWork <= 0 {
-		cfg.MinWork = DefaultMinWork
-	}
+	pwdefault.Positive(&cfg.RateWindow, DefaultRateWindow)
+	pwdefault.Positive(&cfg.MinWork, DefaultMinWork)
 	return cfg
 }
--- a/internal/core/pwretry/retry.go
+++ b/internal/core/pwretry/retry.go
@@ -28,6 +28,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
 
@@ -152,15 +153,9 @@
 
 // NewBudget returns an empty budget.
 func NewBudget(cfg BudgetConfig) *Budget {
-	if cfg.Ratio <= 0 {
-		cfg.Ratio = DefaultRatio
-	}
-	if cfg.Floor <= 0 {
-		cfg.Floor = DefaultFloor
-	}
-	if cfg.Window <= 0 {
-		cfg.Window = DefaultWindow
-	}
+	pwdefault.Positive(&cfg.Ratio, DefaultRatio)
+	pwdefault.Positive(&cfg.Floor, DefaultFloor)
+	pwdefault.Positive(&cfg.Window, DefaultWindow)
 	return &Budget{
 		cfg:   cfg,
 		floor: 1,
@@ -253,12 +248,8 @@
 
 // NewBackoff returns a backoff that draws its jitter from rnd.
 func NewBackoff(cfg BackoffConfig, rnd *rand.Rand) *Backoff {
-	if cfg.Base <= 0 {
-		cfg.Base = DefaultBase
-	}
-	if cfg.Max <= 0 {
-		cfg.Max = DefaultMaxDelay
-	}
+	pwdefault.Positive(&cfg.Base, DefaultBase)
+	pwdefault.Positive(&cfg.Max, DefaultMaxDelay)
 	if cfg.Factor < 1 {
 		cfg.Factor = DefaultFactor
 	}
--- a/internal/core/pwrouter/config.go
+++ b/internal/core/pwrouter/config.go
@@ -1,6 +1,10 @@
 package pwrouter
 
-import "time"
+import (
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
+)
 
 // Defaults of a Config.
 const (
@@ -104,27 +108,21 @@
 }
 
 func (cfg Config) withDefaults() Config {
-	positive(&cfg.ReportHalfLife, DefaultReportHalfLife)
-	positive(&cfg.ReportTimeout, DefaultReportTimeout)
-	positive(&cfg.AsideBase, DefaultAsideBase)
-	positive(&cfg.AsideMax, DefaultAsideMax)
-	positive(&cfg.FailureLimit, DefaultFailureLimit)
-	positive(&cfg.FailureTokens, DefaultFailureTokens)
-	positive(&cfg.FailureHalfLife, DefaultFailureHalfLife)
-	positive(&cfg.IsolationHold, DefaultIsolationHold)
-	positive(&cfg.LongMin, DefaultLongMin)
-	positive(&cfg.LongMax, DefaultLongMax)
-	positive(&cfg.LongWindow, DefaultLongWindow)
-	positive(&cfg.AffinityShare, DefaultAffinityShare)
-	positive(&cfg.MaxPrefixes, DefaultMaxPrefixes)
-	positive(&cfg.RemoteTokens, DefaultRemoteTokens)
+	pwdefault.Positive(&cfg.ReportHalfLife, DefaultReportHalfLife)
+	pwdefault.Positive(&cfg.ReportTimeout, DefaultReportTimeout)
+	pwdefault.Positive(&cfg.AsideBase, DefaultAsideBase)
+	pwdefault.Positive(&cfg.AsideMax, DefaultAsideMax)
+	pwdefault.Positive(&cfg.FailureLimit, DefaultFailureLimit)
+	pwdefault.Positive(&cfg.FailureTokens, DefaultFailureTokens)
+	pwdefault.Positive(&cfg.FailureHalfLife, DefaultFailureHalfLife)
+	pwdefault.Positive(&cfg.IsolationHold, DefaultIsolationHold)
+	pwdefault.Positive(&cfg.LongMin, DefaultLongMin)
+	pwdefault.Positive(&cfg.LongMax, DefaultLongMax)
+	pwdefault.Positive(&cfg.LongWindow, DefaultLongWindow)
+	pwdefault.Positive(&cfg.AffinityShare, DefaultAffinityShare)
+	pwdefault.Positive(&cfg.MaxPrefixes, DefaultMaxPrefixes)
+	pwdefault.Positive(&cfg.RemoteTokens, DefaultRemoteTokens)
 	cfg.LongMax = min(1, cfg.LongMax)
 	cfg.LongMin = min(cfg.LongMin, cfg.LongMax)
 	return cfg
 }
-
-func positive[T int | int64 | float64 | time.Duration](v *T, otherwise T) {
-	if *v <= 0 {
-		*v = otherwise
-	}
-}
--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 )
 
@@ -88,18 +89,13 @@
 }
 
 func (cfg Config) withDefaults() Config {
-	def := func(d *time.Duration, v time.Duration) {
-		if *d <= 0 {
-			*d = v
-		}
-	}
-	def(&cfg.Wait, DefaultWait)
-	def(&cfg.Margin, DefaultMargin)
-	def(&cfg.ListTimeout, DefaultListTimeout)
-	def(&cfg.Pace, DefaultPace)
-	def(&cfg.MinBackoff, DefaultMinBackoff)
-	def(&cfg.MaxBackoff, DefaultMaxBackoff)
-	def(&cfg.ReturnWindow, DefaultReturnWindow)
+	pwdefault.Positive(&cfg.Wait, DefaultWait)
+	pwdefault.Positive(&cfg.Margin, DefaultMargin)
+	pwdefault.Positive(&cfg.ListTimeout, DefaultListTimeout)
+	pwdefault.Positive(&cfg.Pace, DefaultPace)
+	pwdefault.Positive(&cfg.MinBackoff, DefaultMinBackoff)
+	pwdefault.Positive(&cfg.MaxBackoff, DefaultMaxBackoff)
+	pwdefault.Positive(&cfg.ReturnWindow, DefaultReturnWindow)
 	return cfg
 }
 
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 )
 
 // maintenanceInterval is how often old connections and peers are looked for.
@@ -46,31 +47,17 @@
 }
 
 func (p Policy) withDefaults() Policy {
-	def := func(v *float64, d float64) {
-		if *v <= 0 {
-			*v = d
-		}
-	}
-	if p.AbandonFloor <= 0 {
-		p.AbandonFloor = 2 * time.Second // the platform's page on requests
-	}
-	def(&p.AbandonTargets, 4) // the same page
-	def(&p.AbandonGaps, 8)    // the same page
-	def(&p.StallShare, 0.7)
-	def(&p.BusyStallShare, 0.9)
-	def(&p.SafeTimeoutTargets, 1.6)
-	def(&p.NoServerShare, 0.125) // held longer, a refusal costs the caller its return
-	def(&p.WaitShare, 0.35)
-	if p.BodyMemory <= 0 {
-		p.BodyMemory = 64 << 20
-	}
-	if p.MaxRejections <= 0 {
-		// Each one tells of one server that is leaving while the store is away.
-		p.MaxRejections = 12
-	}
-	if p.MaxWaiting <= 0 {
-		p.MaxWaiting = 2000
-	}
+	pwdefault.Positive(&p.AbandonFloor, 2*time.Second) // the platform's page on requests
+	pwdefault.Positive(&p.AbandonTargets, 4)           // the same page
+	pwdefault.Positive(&p.AbandonGaps, 8)              // the same page
+	pwdefault.Positive(&p.StallShare, 0.7)
+	pwdefault.Positive(&p.BusyStallShare, 0.9)
+	pwdefault.Positive(&p.SafeTimeoutTargets, 1.6)
+	pwdefault.Positive(&p.NoServerShare, 0.125) // held longer, a refusal costs the caller its return
+	pwdefault.Positive(&p.WaitShare, 0.35)
+	pwdefault.Positive(&p.BodyMemory, 64<<20)
+	pwdefault.Positive(&p.MaxRejections, 12) // each one tells of one server that is leaving while the store is away
+	pwdefault.Positive(&p.MaxWaiting, 2000)
 	return p
 }
 
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -20,6 +20,7 @@
 	"sync"
 	"time"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 )
@@ -112,12 +113,8 @@
 
 // New returns an exchange that listens.
 func New(cfg Config, view View, obs *pwobserve.Observer) (*Exchange, error) {
-	if cfg.Heartbeat <= 0 {
-		cfg.Heartbeat = DefaultHeartbeat
-	}
-	if cfg.PacePerPeer <= 0 {
-		cfg.PacePerPeer = DefaultPacePerPeer
-	}
+	pwdefault.Positive(&cfg.Heartbeat, DefaultHeartbeat)
+	pwdefault.Positive(&cfg.PacePerPeer, DefaultPacePerPeer)
 	addr, err := net.ResolveUDPAddr("udp4", cfg.Address)
 	if err != nil {
 		return nil, err
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -31,6 +31,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
 
@@ -77,18 +78,10 @@
 
 // New returns an empty pool.
 func New(cfg Config) *Pool {
-	if cfg.DialTimeout <= 0 {
-		cfg.DialTimeout = DefaultDialTimeout
-	}
-	if cfg.IdleTimeout <= 0 {
-		cfg.IdleTimeout = DefaultIdleTimeout
-	}
-	if cfg.UserTimeout <= 0 {
-		cfg.UserTimeout = DefaultUserTimeout
-	}
-	if cfg.MaxIdle <= 0 {
-		cfg.MaxIdle = DefaultMaxIdle
-	}
+	pwdefault.Positive(&cfg.DialTimeout, DefaultDialTimeout)
+	pwdefault.Positive(&cfg.IdleTimeout, DefaultIdleTimeout)
+	pwdefault.Positive(&cfg.UserTimeout, DefaultUserTimeout)
+	pwdefault.Positive(&cfg.MaxIdle, DefaultMaxIdle)
 	p := &Pool{
 		cfg:  cfg,
 		idle: make(map[string][]*Conn),
