Keep the engine of tests and measurements in one place

Cause: the users' engine stood six times in tests and in the capacity command, with some fields left out.

Change: pwfakecatalog.Engine serves all; assertions are unchanged.

--- a/internal/core/pwcost/cost_test.go
+++ b/internal/core/pwcost/cost_test.go
@@ -4,18 +4,10 @@
 	"math"
 	"testing"
 
-	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
 )
 
-var engine = pwcatalog.Engine{
-	Slots:           16,
-	StepMS:          1.02,
-	WriterMS:        0.00226,
-	ContextMSPerK:   0.00431,
-	ReadTokensPerMS: 206,
-	PairsMSPerM:     0.138,
-	Stride:          43,
-}
+var engine = pwfakecatalog.Engine()
 
 // naiveRead counts the pairs of a prompt chunk by chunk, as an engine reads it.
 func naiveRead(tokens int64) float64 {
--- a/internal/core/pwfleet/fleet_test.go
+++ b/internal/core/pwfleet/fleet_test.go
@@ -9,20 +9,10 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
 )
 
-var testEngine = pwcatalog.Engine{
-	Slots:           16,
-	MemoryTokens:    232_000,
-	StepMS:          1.02,
-	WriterMS:        0.00226,
-	ContextMSPerK:   0.00431,
-	ReadTokensPerMS: 206,
-	PairsMSPerM:     0.138,
-	ChunkTokens:     2048,
-	Stride:          43,
-	HopMS:           0.075,
-}
+var testEngine = pwfakecatalog.Engine()
 
 var start = time.Date(2026, 12, 4, 7, 0, 0, 0, time.UTC)
 
--- a/internal/fake/pwcapacity/gateway.go
+++ b/internal/fake/pwcapacity/gateway.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"time"
 
+	"github.com/pomeloweir/pomeloweir/platform"
+
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
-	"github.com/pomeloweir/pomeloweir/platform"
 )
 
 const (
@@ -32,17 +34,11 @@
 
 // gatewayFleet returns a fleet of n engines of one service.
 func gatewayFleet(n int) *pwfleet.Fleet {
+	e := pwfakecatalog.Engine()
 	f := pwfleet.New(pwfleet.Config{})
 	f.Configure([]pwcatalog.Service{{
-		Name: "model",
-		Engine: &pwcatalog.Engine{
-			Slots:           16,
-			MemoryTokens:    232_000,
-			StepMS:          1.02,
-			ReadTokensPerMS: 206,
-			PairsMSPerM:     0.138,
-			Stride:          43,
-		},
+		Name:   "model",
+		Engine: &e,
 	}})
 	now := time.Now()
 	for i := range n {
--- a/internal/node/pwgateway/dispatch_test.go
+++ b/internal/node/pwgateway/dispatch_test.go
@@ -8,22 +8,19 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 )
 
 // newOneSlot returns a dispatcher of one engine with one slot.
 func newOneSlot() *dispatcher {
+	e := pwfakecatalog.Engine()
+	e.Slots = 1
 	f := pwfleet.New(pwfleet.Config{})
 	f.Configure([]pwcatalog.Service{{
-		Name: "model",
-		Engine: &pwcatalog.Engine{
-			Slots:           1,
-			MemoryTokens:    232_000,
-			StepMS:          1,
-			ReadTokensPerMS: 206,
-			Stride:          43,
-		},
+		Name:   "model",
+		Engine: &e,
 	}})
 	f.Upsert(time.Now(), pwcatalog.BackendServer{
 		ID:      "e-0",
--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -15,14 +15,16 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pomeloweir/pomeloweir/platform"
+
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwgateway"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
-	"github.com/pomeloweir/pomeloweir/platform"
 )
 
 // backend is a backend server in memory. It answers each request with the next
@@ -158,18 +160,7 @@
 	contact  time.Time
 }
 
-// engine is like those of the users' sites.
-var engine = pwcatalog.Engine{
-	Slots:           16,
-	MemoryTokens:    232_000,
-	StepMS:          1.02,
-	WriterMS:        0.00226,
-	ContextMSPerK:   0.00431,
-	ReadTokensPerMS: 206,
-	PairsMSPerM:     0.138,
-	ChunkTokens:     2048,
-	Stride:          43,
-}
+var engine = pwfakecatalog.Engine()
 
 func route(name string, kind pwcatalog.Kind, service string) pwcatalog.Route {
 	return pwcatalog.Route{
--- a/internal/node/pwgateway/usage_test.go
+++ b/internal/node/pwgateway/usage_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
@@ -18,17 +19,11 @@
 func TestHotWorkspaceLetsOthersPass(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := newDispatcher(pwfleet.New(pwfleet.Config{}), pwdeployment.Deployment{}, Policy{}.withDefaults(), pwobserve.Discard())
+		e := pwfakecatalog.Engine()
 		d.configure(pwcatalog.New(pwcatalog.Spec{
 			Services: []pwcatalog.Service{{
-				Name: "model",
-				Engine: &pwcatalog.Engine{
-					Slots:           16,
-					MemoryTokens:    232_000,
-					StepMS:          1.02,
-					ReadTokensPerMS: 206,
-					PairsMSPerM:     0.138,
-					Stride:          43,
-				},
+				Name:   "model",
+				Engine: &e,
 			}},
 		}))
 		for i := range 4 {
