Bound what is read of a response that has no end

A rejected or a stray response was discarded up to 8 MB, and blank lines and comments of a stream counted as events and were passed on without an end.

Change: pwupstream bounds the head with its informational responses to 32 KB and 8 responses. Drain discards at most 16 KB within 250 ms and closes the connection otherwise. An event with the blank lines and comments before it has at most 64 KB. The line server_suspect states the error, which names the bound and the server.

--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -437,6 +437,8 @@
 			t.Fatalf("second body %q", w.Body)
 		}
 		b := f.backends["desk-1"]
+		// The server's goroutine records the close only after its read has returned.
+		synctest.Wait()
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		if b.closedConns == 0 {
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -3,8 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
-	"io"
+	"errors"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -20,8 +19,6 @@
 	// maxStrayResponses limits the responses to other requests that are discarded
 	// on one connection.
 	maxStrayResponses = 2
-	// maxResponseBytes limits a response that is buffered until it is complete.
-	maxResponseBytes = 8 << 20
 	// reserveTimeout limits a call that reserves memory of an engine.
 	reserveTimeout = 700 * time.Millisecond
 	// releaseTimeout limits the attempts to release memory. Afterwards the
@@ -56,7 +53,7 @@
 	x := s.x
 	conn, err := x.g.pool.Get(ctx, s.plan.Server.Address)
 	if err != nil {
-		s.reportFailure(pwfleet.FailureConnect)
+		s.reportFailure(pwfleet.FailureConnect, err)
 		x.rejections++
 		return x.rejections < x.g.cfg.Policy.MaxRejections, err
 	}
@@ -147,7 +144,7 @@
 				"the response belongs to request %q, not to %q", metadata.ID, s.x.metadata.ID)
 		}
 		s.x.g.obs.Count("stray_answers", 1)
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err != nil {
+		if err := s.conn.Drain(resp); err != nil {
 			return nil, ResponseMetadata{}, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "discarding a response to another request")
 		}
 		next, err := s.conn.ReadResponse(s.x.r.Method)
@@ -163,7 +160,7 @@
 // handleRejection handles a response which states that the request has not run.
 func (s *send) handleRejection(resp *http.Response, metadata ResponseMetadata) (bool, error) {
 	x := s.x
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes)); err == nil {
+	if err := s.conn.Drain(resp); err == nil {
 		s.releaseConn(resp)
 	}
 	rejecter := s.plan.Server.ID
@@ -207,7 +204,7 @@
 	if s.timedOut.Load() {
 		failure = pwfleet.FailureResponse
 	}
-	s.reportFailure(failure)
+	s.reportFailure(failure, err)
 	x.triedServers[s.plan.Server.ID] = true
 	if s.timedOut.Load() {
 		err = pwverdict.Wrap(errServerUnresponsive, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "%s", s.plan.Server.ID)
@@ -218,8 +215,8 @@
 }
 
 // reportFailure records a failure of the server, which the fleet then avoids for a
-// while, and logs for how long.
-func (s *send) reportFailure(failure pwfleet.Failure) {
+// while, and logs the cause and for how long.
+func (s *send) reportFailure(failure pwfleet.Failure, cause error) {
 	var backoff time.Duration
 	s.x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
 		backoff = f.RecordFailure(now, s.plan.Server.ID, failure)
@@ -227,6 +224,7 @@
 	s.x.g.obs.LogEvent("server_suspect", s.x.logFields(
 		"backend_server", s.plan.Server.ID,
 		"pause_ms", backoff.Milliseconds(),
+		"error", cause.Error(),
 	))
 }
 
@@ -240,9 +238,10 @@
 // deliverBuffered reads the complete response and then delivers it.
 func (s *send) deliverBuffered(resp *http.Response) (bool, error) {
 	x := s.x
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = fmt.Errorf("the response exceeds %d bytes", maxResponseBytes)
+	body, release, err := x.g.readResponseBody(resp.Body)
+	defer release()
+	if errors.Is(err, errNoResponseMemory) {
+		return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseQueueFull, "buffering the response of %s", s.plan.Server.ID)
 	}
 	if err != nil {
 		return s.handleFailure(pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "the response ended early"), pwfleet.FailureReset)
@@ -255,11 +254,12 @@
 	s.releaseConn(resp)
 	if resp.StatusCode >= http.StatusInternalServerError && s.x.runs < x.route.Attempts && x.route.Repeatable() &&
 		time.Until(x.deadline) > x.route.Target/2 {
+		err := pwverdict.New(pwverdict.Ran, pwverdict.CauseEngineFailed, "%s answered %d", s.plan.Server.ID, resp.StatusCode)
 		if x.route.Kind == pwcatalog.Streaming {
-			s.reportFailure(pwfleet.FailureResponse)
+			s.reportFailure(pwfleet.FailureResponse, err)
 		}
 		x.triedServers[s.plan.Server.ID] = true
-		return true, pwverdict.New(pwverdict.Ran, pwverdict.CauseEngineFailed, "%s answered %d", s.plan.Server.ID, resp.StatusCode)
+		return true, err
 	}
 	s.reportSuccess(resp)
 	copyHeaders(x.w.Header(), resp.Header)
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -14,8 +14,10 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of one event of a stream, together with the blank lines
+// and comments before it. It covers the largest event several times over, and a process
+// can hold one for each of its streams.
+const maxEventBytes = 64 << 10
 
 // event is one server-sent event of a stream, with its bytes as received.
 type event struct {
@@ -26,10 +28,12 @@
 // errEventOrder is returned when a stream skips events.
 var errEventOrder = errors.New("the stream does not continue after the last delivered event")
 
-// readEvent reads up to the blank line that ends an event. At the end of the stream
-// it returns io.EOF and the bytes that were left.
+// readEvent reads up to the blank line that ends an event. Blank lines and comments
+// before an event are returned with it. At the end of the stream it returns io.EOF and
+// the bytes that were left.
 func readEvent(br *bufio.Reader) (event, error) {
 	var ev event
+	hasField := false
 	for {
 		line, err := br.ReadSlice('\n')
 		ev.raw = append(ev.raw, line...)
@@ -44,8 +48,12 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			return ev, nil
+			if hasField {
+				return ev, nil
+			}
+			continue
 		}
+		hasField = hasField || text[0] != ':'
 		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/node/pwtransport/transport.go
+++ b/internal/node/pwtransport/transport.go
@@ -93,11 +93,12 @@
 			DialContext: (&net.Dialer{
 				Timeout: dialTimeout,
 			}).DialContext,
-			TLSClientConfig:     cfg,
-			TLSHandshakeTimeout: dialTimeout,
-			MaxIdleConnsPerHost: maxIdleConnsPerHost,
-			IdleConnTimeout:     idleTimeout,
-			Protocols:           p,
+			TLSClientConfig:        cfg,
+			TLSHandshakeTimeout:    dialTimeout,
+			MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+			MaxResponseHeaderBytes: maxHeaderBytes,
+			IdleConnTimeout:        idleTimeout,
+			Protocols:              p,
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout: pingIdleTime,
 				PingTimeout:     pingTimeout,
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -60,8 +60,46 @@
 	// request to finish.
 	writeDoneTimeout = 5 * time.Millisecond
 	readBufferBytes  = 4 << 10
+	// maxHeadBytes bounds the status lines and headers that are read for one response,
+	// including those of the informational responses before it.
+	maxHeadBytes = 32 << 10
+	// maxInformationalResponses bounds the informational (1xx) responses before a
+	// response.
+	maxInformationalResponses = 8
+	// MaxDrainBytes bounds the rest of a body that Drain reads, and drainTimeout the
+	// time that it takes. Beyond that, a new connection is cheaper.
+	MaxDrainBytes = 16 << 10
+	drainTimeout  = 250 * time.Millisecond
 )
 
+// Errors for responses that exceed a bound.
+var (
+	errHeadTooLarge      = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
+	errTooManyResponses  = fmt.Errorf("more than %d informational responses", maxInformationalResponses)
+	errRemainderTooLarge = fmt.Errorf("the rest of the body exceeds %d bytes", MaxDrainBytes)
+)
+
+// headLimiter reads from a connection and bounds the bytes that are read while the head
+// of a response is expected.
+type headLimiter struct {
+	r io.Reader
+	// limited is set while a head is read; remaining is what it may still take.
+	limited   bool
+	remaining int
+}
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.r.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.r.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // Config configures a Pool. Zero fields take their defaults.
 type Config struct {
 	DialTimeout      time.Duration
@@ -121,6 +159,7 @@
 	pool        *Pool
 	addr        string
 	netConn     net.Conn
+	limiter     *headLimiter
 	br          *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -155,11 +194,15 @@
 	if err != nil {
 		return nil, pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseUnavailable, "connecting to %s", addr)
 	}
+	limiter := &headLimiter{
+		r: conn,
+	}
 	return &Conn{
 		pool:        p,
 		addr:        addr,
 		netConn:     conn,
-		br:          bufio.NewReaderSize(conn, readBufferBytes),
+		limiter:     limiter,
+		br:          bufio.NewReaderSize(limiter, readBufferBytes),
 		idleTimeout: p.cfg.IdleTimeout,
 	}, nil
 }
@@ -307,9 +350,11 @@
 }
 
 // ReadResponse reads the header of the next response on the connection and skips
-// informational (1xx) responses.
+// informational (1xx) responses. It fails when a head has no end within maxHeadBytes.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
-	for {
+	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
+	defer func() { c.limiter.limited = false }()
+	for range maxInformationalResponses + 1 {
 		resp, err := http.ReadResponse(c.br, &http.Request{
 			Method: method,
 		})
@@ -323,6 +368,24 @@
 			return nil, pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "%s switched protocols", c.addr)
 		}
 	}
+	return nil, pwverdict.Wrap(errTooManyResponses, pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "reading the response of %s", c.addr)
+}
+
+// Drain reads the rest of a body that is not needed, after which the connection can
+// carry another response. It fails when the rest exceeds MaxDrainBytes or takes longer
+// than drainTimeout; the connection must then be closed.
+func (c *Conn) Drain(resp *http.Response) error {
+	if err := c.netConn.SetReadDeadline(time.Now().Add(drainTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, MaxDrainBytes+1))
+	if err != nil {
+		return err
+	}
+	if n > MaxDrainBytes {
+		return errRemainderTooLarge
+	}
+	return c.netConn.SetReadDeadline(time.Time{})
 }
 
 // Release returns the connection to the pool. The caller must have read resp.Body
