Send no request whose caller has closed the connection

Cause: a process that was stopped for seconds reads, once it runs again, requests whose callers have left in the meantime. net/http notices the close in a goroutine of its own, which may run only after the request was sent to a server.

Change: before a request is sent, the connection of its caller is checked with a read that consumes nothing.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -278,6 +278,7 @@
 		ReadHeaderTimeout: defaultHeaderTimeout,
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    defaultHeaderBytes,
+		ConnContext:       pwgateway.WithCallerConn,
 	}
 	if limits.IdleTimeout > 0 {
 		srv.IdleTimeout = limits.IdleTimeout
--- /dev/null
+++ b/internal/node/pwgateway/caller.go
@@ -0,0 +1,49 @@
+package pwgateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// callerConnKey is the context key of a caller's connection.
+type callerConnKey struct{}
+
+// WithCallerConn returns a context with the connection that a request arrives on. It is
+// meant for http.Server.ConnContext. A Gateway uses it to find out whether the caller has
+// closed the connection.
+func WithCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, c)
+}
+
+// hasCallerLeft reports whether the caller has closed its connection. The server cancels
+// the context of the request too, but in a goroutine that may run only after the request
+// was sent: a process that was stopped for seconds reads requests whose callers have left
+// in the meantime.
+func hasCallerLeft(ctx context.Context) bool {
+	if ctx.Err() != nil {
+		return true
+	}
+	c, ok := ctx.Value(callerConnKey{}).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EWOULDBLOCK), errors.Is(err, unix.EINTR):
+		case err != nil, n == 0:
+			closed = true
+		}
+	})
+	return closed || err != nil
+}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -305,6 +305,10 @@
 	return plan, assignment, err
 }
 
+// errCallerLeft is returned for a request that is not sent because its caller has closed
+// the connection.
+var errCallerLeft = pwverdict.New(pwverdict.NotRun, pwverdict.CauseCancelled, "the caller has closed the connection")
+
 // trySend sends the request to the planned server and relays the response. With an
 // error it returns whether the request may be retried on another server.
 func (x *exchange) trySend(ctx context.Context, plan pwfleet.Plan, assignment *pwfleet.Assignment) (retryable bool, err error) {
@@ -315,6 +319,9 @@
 			"the deadline is too close to send the request: %s left, at least %s needed",
 			remaining.Round(time.Microsecond), minSendTime)
 	}
+	if hasCallerLeft(x.r.Context()) {
+		return false, errCallerLeft
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	helpers, release, err := x.reserveEngineMemory(ctx, plan)
@@ -340,7 +347,7 @@
 // finishWithError ends a request that failed. A caller that has the head of a
 // streamed response already gets no other one; its connection is aborted.
 func (x *exchange) finishWithError(ctx context.Context, err error) {
-	if x.r.Context().Err() != nil {
+	if x.r.Context().Err() != nil || errors.Is(err, errCallerLeft) {
 		x.logOutcome("caller_left", err)
 		return
 	}
--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -161,6 +161,8 @@
 	backends     map[string]*backend
 	engines      *fakeEngines
 	storeContact time.Time
+	// settleTime is how long the cleanup lets crash probes and releases finish.
+	settleTime time.Duration
 }
 
 var engine = pwfakecatalog.Engine()
@@ -193,6 +195,7 @@
 			held: make(map[string]int64),
 		},
 		storeContact: time.Now(),
+		settleTime:   time.Minute,
 	}
 	f.gateway = pwgateway.New(pwgateway.Config{
 		Deployment: pwdeployment.Deployment{
@@ -259,7 +262,7 @@
 		f.gateway.Run(ctx)
 	}()
 	t.Cleanup(func() {
-		time.Sleep(time.Minute) // lets crash probes and releases finish
+		time.Sleep(f.settleTime)
 		cancel()
 		<-done
 	})
