--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -28,6 +28,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/cli/pwconsole"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
@@ -130,6 +131,7 @@
 	tuning           Tuning
 	gateway          *pwgateway.Gateway
 	exchange         *pwpeering.Exchange
+	directory        *pwpeering.Directory
 	operatorFollower *pwcontrol.Follower[pwcontrol.OperatorRow]
 	serverFollower   *pwcontrol.Follower[pwcatalog.BackendServer]
 	wg               sync.WaitGroup
@@ -169,26 +171,26 @@
 	p.gateway.SetStoreContact(p.operatorFollower.LastContact)
 	var err error
 	p.exchange, err = pwpeering.New(pwpeering.Config{
-		Instance: d.Instance,
-		Address:  p.peerAddress(),
+		Address:         p.peerAddress(),
+		OnUnknownSender: func() { p.directory.Refresh() },
 	}, p.gateway, p.obs)
 	if err != nil {
 		return err
 	}
 	p.gateway.SetOnLoadChange(p.exchange.NotifyLoadChanged)
-	directory := pwpeering.NewDirectory(platform.NewInstanceTable(client), pwinstance.Instance{
+	p.directory = pwpeering.NewDirectory(platform.NewInstanceTable(client), pwinstance.Instance{
 		ID:         pwrequest.InstanceID(d.Instance),
 		Address:    p.peerAddress(),
 		DataCentre: pwrequest.DataCentre(d.DataCentre),
 		Role:       pwinstance.RoleGateway,
-	}, p.addGateway, p.obs)
+	}, p.setGateways, p.obs)
 
 	// The background goroutines stop only after the last request has ended.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer p.wg.Wait()
 	defer stop()
 	for _, loop := range []func(context.Context){
-		p.operatorFollower.Run, p.serverFollower.Run, p.gateway.Run, p.exchange.Run, directory.Run, p.loopSettings,
+		p.operatorFollower.Run, p.serverFollower.Run, p.gateway.Run, p.exchange.Run, p.directory.Run, p.loopSettings,
 	} {
 		p.wg.Add(1)
 		go func() {
@@ -215,11 +217,28 @@
 	}
 }
 
-// addGateway adds another gateway to the exchange of loads.
-func (p *process) addGateway(i pwinstance.Instance) {
-	if i.Role == pwinstance.RoleGateway {
-		p.exchange.AddPeer(i.Address)
+// setGateways sets the gateways that share the fleet.
+func (p *process) setGateways(list []pwinstance.Instance) {
+	members := make([]pwcell.Member, 0, len(list))
+	peers := make([]pwpeering.Peer, 0, len(list))
+	for _, i := range list {
+		if i.Role != pwinstance.RoleGateway {
+			continue
+		}
+		members = append(members, pwcell.Member{
+			ID:         string(i.ID),
+			DataCentre: string(i.DataCentre),
+		})
+		peers = append(peers, pwpeering.Peer{
+			Name:    string(i.ID),
+			Address: i.Address,
+		})
 	}
+	p.gateway.SetProcesses(pwcell.Member{
+		ID:         p.deployment.Instance,
+		DataCentre: p.deployment.DataCentre,
+	}, members)
+	p.exchange.SetPeers(peers)
 }
 
 func (p *process) peerAddress() string {
--- a/internal/cli/pwgatewaycommand/tuning.go
+++ b/internal/cli/pwgatewaycommand/tuning.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"os"
+	"time"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwgateway"
@@ -40,6 +42,11 @@
 	WaitShare  float64 `json:"wait_share"`
 	// MaxWaiting limits the number of queued requests.
 	MaxWaiting int `json:"max_waiting"`
+	// CellProcesses and CellServers are the fewest processes and backend servers of a
+	// cell, and LoadAgeMS is the assumed age of what processes know of each other's load.
+	CellProcesses int     `json:"cell_processes"`
+	CellServers   int     `json:"cell_servers"`
+	LoadAgeMS     float64 `json:"load_age_ms"`
 }
 
 // LoadTuning reads the tuning file at path. An empty path gives the defaults.
@@ -91,6 +98,9 @@
 		{name: "stall_share", value: t.StallShare, max: 1},
 		{name: "wait_share", value: t.WaitShare, max: 1},
 		{name: "max_waiting", value: float64(t.MaxWaiting), max: 1_000_000},
+		{name: "cell_processes", value: float64(t.CellProcesses), max: 1_000_000},
+		{name: "cell_servers", value: float64(t.CellServers), max: 1_000_000},
+		{name: "load_age_ms", value: t.LoadAgeMS, max: maxMS},
 	} {
 		if f.value < 0 || f.value > f.max {
 			return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
@@ -108,6 +118,11 @@
 		MaxPrefillMS:      t.MaxPrefillMS,
 		MaxHeavyPrefillMS: t.MaxHeavyPrefillMS,
 		ShortFill:         t.ShortFill,
+		LoadAge:           time.Duration(t.LoadAgeMS * float64(time.Millisecond)),
+		Cells: pwcell.Config{
+			MinProcesses: t.CellProcesses,
+			MinServers:   t.CellServers,
+		},
 	}
 }
 
--- /dev/null
+++ b/internal/core/pwfleet/cells_test.go
@@ -0,0 +1,256 @@
+package pwfleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
+)
+
+// largeEngine is the engine of the users' large fleet.
+var largeEngine = func() pwcatalog.Engine {
+	e := pwfakecatalog.Engine()
+	e.Slots = 10
+	e.StepsPerIteration = 68
+	return e
+}()
+
+// newProcesses returns processes in five data centres.
+func newProcesses(n int) []pwcell.Member {
+	out := make([]pwcell.Member, n)
+	for i := range out {
+		out[i] = pwcell.Member{
+			ID:         fmt.Sprint("front-", i),
+			DataCentre: fmt.Sprint("dc-", i%5),
+		}
+	}
+	return out
+}
+
+// newLargeFleets returns the fleets of all processes before the same engines "e-0" and
+// so on.
+func newLargeFleets(processes, engines int, rnd *rand.Rand) []*Fleet {
+	list := newProcesses(processes)
+	out := make([]*Fleet, processes)
+	for i := range out {
+		f := New(Config{
+			RandIntN: rnd.IntN,
+		})
+		f.Configure([]pwcatalog.Service{{
+			Name:                  "model",
+			Engine:                &largeEngine,
+			ColdRequestsPerSecond: 14,
+		}})
+		f.SetColdBounds(1.5, 5)
+		f.SetProcesses(list[i], list)
+		for j := range engines {
+			f.Upsert(start, listed(fmt.Sprint("e-", j), "model", fmt.Sprint("dc-", j%5)))
+		}
+		out[i] = f
+	}
+	return out
+}
+
+// All processes together must keep the bound on requests to a cold server, however many
+// there are and also if none of them hears another: with equal shares, each of 68
+// processes could send one request in the same second, where 26 are allowed.
+func TestColdServerBoundHoldsForAnyNumberOfProcesses(t *testing.T) {
+	const rate, factor, slack, seconds = 14, 1.5, 5, 5
+	for _, processes := range []int{1, 4, 68, 640} {
+		t.Run(fmt.Sprint(processes), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(1, uint64(processes)))
+			fleets := newLargeFleets(processes, 0, rnd)
+			cold := listed("e-0", "model", "dc-0")
+			cold.ColdRemaining = time.Minute
+			for _, f := range fleets {
+				f.Upsert(start, cold)
+			}
+			var sentAt []int
+			for ms := 0; ms < seconds*1000; ms += 10 {
+				now := start.Add(time.Duration(ms) * time.Millisecond)
+				for _, f := range fleets {
+					if p, err := f.Plan(now, short()); err == nil {
+						f.Start(now, p).End()
+						sentAt = append(sentAt, ms)
+					}
+				}
+			}
+			worst, from := 0, 0
+			for i, ms := range sentAt {
+				for sentAt[from] <= ms-1000 {
+					from++
+				}
+				worst = max(worst, i-from+1)
+			}
+			if limit := int(rate*factor + slack); worst > limit {
+				t.Errorf("%d requests in a second, allowed are %d", worst, limit)
+			}
+			if len(sentAt) < rate*seconds/2 {
+				t.Errorf("%d requests in %d s, want at least half of the rate of %d", len(sentAt), seconds, rate)
+			}
+		})
+	}
+}
+
+// Every engine belongs to the cell of some processes, and each process keeps to its own
+// cell as long as the cell has usable engines.
+func TestEnginesAreDividedIntoCells(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(2, 2))
+	fleets := newLargeFleets(68, 195, rnd)
+	used := make(map[string]map[int]bool)
+	for _, f := range fleets {
+		own, peers := f.Cell()
+		if own.Count != 4 || len(peers) != 16 {
+			t.Fatalf("cell %+v with %d peers, want one of 4 with 16", own, len(peers))
+		}
+		for range 200 {
+			p := mustPlan(t, f, short())
+			f.Start(start, p)
+			if used[p.Server.ID] == nil {
+				used[p.Server.ID] = make(map[int]bool)
+			}
+			used[p.Server.ID][own.Index] = true
+		}
+	}
+	for id, by := range used {
+		if len(by) != 1 {
+			t.Errorf("engine %s is used by %d cells", id, len(by))
+		}
+	}
+	if len(used) != 195 {
+		t.Errorf("%d of 195 engines are used", len(used))
+	}
+	f := fleets[0]
+	for _, s := range f.inCell("model") {
+		drained := s.info
+		drained.Draining = true
+		f.Upsert(start, drained)
+	}
+	p := mustPlan(t, f, short())
+	if f.servers[p.Server.ID].inCell {
+		t.Errorf("the draining engine %s gets work", p.Server.ID)
+	}
+}
+
+// exchangeLoads delivers the loads that processes report to those of the same cell.
+func exchangeLoads(now time.Time, fleets []*Fleet) {
+	for j, from := range fleets {
+		name, loads := fmt.Sprint("front-", j), from.OwnLoads()
+		for i, to := range fleets {
+			if _, peers := to.Cell(); i != j && peers[name] {
+				to.SetPeerLoads(now, name, loads)
+			}
+		}
+	}
+}
+
+// shortResult counts how short prompts fared: those that waited for a slot of their
+// engine, and those that it rejected.
+type shortResult struct {
+	sent, queued, rejected int
+}
+
+func (r shortResult) queuedShare() float64   { return float64(r.queued) / float64(r.sent) }
+func (r shortResult) rejectedShare() float64 { return float64(r.rejected) / float64(r.sent) }
+
+// simulateShortPrompts plays short prompts on 68 processes that report their loads once
+// in every interval. The rate is the usual one times before, and from the third second
+// on times after. An engine queues 20 prompts beyond its slots and rejects others, as on
+// the platform.
+func simulateShortPrompts(interval time.Duration, before, after float64) shortResult {
+	const engines, perSecond, engineQueue = 195, 276.0, 20
+	const answer, step = 1700 * time.Millisecond, 10 * time.Millisecond
+	rnd := rand.New(rand.NewPCG(3, 3))
+	fleets := newLargeFleets(68, engines, rnd)
+	type running struct {
+		a      *Assignment
+		engine string
+		until  time.Time
+	}
+	var live []running
+	load := make(map[string]int)
+	var r shortResult
+	for tick := range 800 {
+		now := start.Add(time.Duration(tick) * step)
+		for _, f := range fleets {
+			f.ExpirePeers(now)
+		}
+		live = slices.DeleteFunc(live, func(l running) bool {
+			if now.Before(l.until) {
+				return false
+			}
+			l.a.End()
+			load[l.engine]--
+			return true
+		})
+		if now.Sub(start)%interval == 0 {
+			exchangeLoads(now, fleets)
+		}
+		rate := perSecond * before
+		if tick >= 300 {
+			rate = perSecond * after
+		}
+		for n := rate*step.Seconds() + rnd.Float64(); n >= 1; n-- {
+			f := fleets[rnd.IntN(len(fleets))]
+			p, err := f.Plan(now, short())
+			r.sent++
+			if err != nil {
+				r.rejected++
+				continue
+			}
+			switch n := load[p.Server.ID]; {
+			case n >= largeEngine.Slots+engineQueue:
+				r.rejected++
+				f.MarkFull(now, p.Server.ID)
+				continue
+			case n >= largeEngine.Slots:
+				r.queued++
+			}
+			load[p.Server.ID]++
+			live = append(live, running{
+				a:      f.Start(now, p),
+				engine: p.Server.ID,
+				until:  now.Add(answer/2 + time.Duration(rnd.Float64()*float64(answer))),
+			})
+		}
+	}
+	return r
+}
+
+// maxRejectedShare is the share of short prompts that engines may reject, also if the
+// processes hardly hear each other.
+const maxRejectedShare = 0.02
+
+// A swing from long to short prompts multiplies the short ones by six within a second.
+// Processes that know each other's loads as of 40 ms ago must not send them to the same
+// engines, and those with older loads must not have them rejected.
+func TestSwingToShortPromptsWithStaleLoads(t *testing.T) {
+	const maxQueuedShare = 0.02
+	for _, interval := range []time.Duration{40 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 4 * time.Second} {
+		t.Run(interval.String(), func(t *testing.T) {
+			r := simulateShortPrompts(interval, 0.4, 2.5)
+			t.Logf("%d sent, %.2f %% queued, %.2f %% rejected", r.sent, 100*r.queuedShare(), 100*r.rejectedShare())
+			if r.rejectedShare() > maxRejectedShare {
+				t.Errorf("%.2f %% were rejected, want at most %.0f %%", 100*r.rejectedShare(), 100*maxRejectedShare)
+			}
+			if interval <= DefaultLoadAge && r.queuedShare() > maxQueuedShare {
+				t.Errorf("%.2f %% were queued, want at most %.0f %%", 100*r.queuedShare(), 100*maxQueuedShare)
+			}
+		})
+	}
+}
+
+// At the usual rate, engines must not reject the short prompts of processes that hear
+// each other every 4 s only.
+func TestUsualShortPromptsWithoutFreshLoads(t *testing.T) {
+	r := simulateShortPrompts(4*time.Second, 1, 1)
+	t.Logf("%d sent, %.2f %% queued, %.2f %% rejected", r.sent, 100*r.queuedShare(), 100*r.rejectedShare())
+	if r.rejectedShare() > maxRejectedShare {
+		t.Errorf("%.2f %% were rejected, want at most %.0f %%", 100*r.rejectedShare(), 100*maxRejectedShare)
+	}
+}
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -28,6 +28,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcost"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 )
@@ -66,10 +67,9 @@
 	// DefaultShortFill is the fraction of an engine's slots up to which short prompts
 	// are packed onto it.
 	DefaultShortFill = 0.75
-	// DefaultProcessesPerEngine spreads the short prompts that several processes
-	// send before they have exchanged their loads: one more engine is considered
-	// for each group of this many processes.
-	DefaultProcessesPerEngine = 4
+	// DefaultLoadAge is how old the load of a peer is when this process uses it: the
+	// interval of messages, their transit and the wait for the processor.
+	DefaultLoadAge = 40 * time.Millisecond
 	// DefaultPeerExpiry is the age from which the reported load of a peer is dropped.
 	DefaultPeerExpiry = time.Second
 	// DefaultMinSuspectDuration and DefaultMaxSuspectDuration bound the time for
@@ -100,12 +100,14 @@
 	ShortFill         float64
 	// RandIntN returns a number in [0, n); the default is rand.IntN.
 	RandIntN           func(n int) int
-	ProcessesPerEngine int
+	LoadAge            time.Duration
 	PeerExpiry         time.Duration
 	MinSuspectDuration time.Duration
 	MaxSuspectDuration time.Duration
 	HelpCooldown       time.Duration
 	FullCooldown       time.Duration
+	// Cells bounds the size of the cells that the fleet is divided into.
+	Cells pwcell.Config
 }
 
 func (cfg Config) withDefaults() Config {
@@ -121,7 +123,7 @@
 	pwdefault.SetUnlessPositive(&cfg.MaxHeavyPrefillMS, DefaultMaxHeavyPrefillMS)
 	pwdefault.SetUnlessPositive(&cfg.MaxParts, DefaultMaxParts)
 	pwdefault.SetUnlessPositive(&cfg.ShortFill, DefaultShortFill)
-	pwdefault.SetUnlessPositive(&cfg.ProcessesPerEngine, DefaultProcessesPerEngine)
+	pwdefault.SetUnlessPositive(&cfg.LoadAge, DefaultLoadAge)
 	if cfg.RandIntN == nil {
 		cfg.RandIntN = rand.IntN
 	}
@@ -197,6 +199,8 @@
 	lapsesAt time.Time
 	// replaced is set when another server responds at the address.
 	replaced bool
+	// inCell is set if the server belongs to the cell of this process.
+	inCell bool
 }
 
 // load returns the load of all processes on the server.
@@ -221,9 +225,9 @@
 	t.refilledAt = now
 }
 
-// peer holds the loads that another process last reported.
+// peer holds the loads that another process last reported, by server.
 type peer struct {
-	loads      []ServerLoad
+	loads      map[uint64]Load
 	receivedAt time.Time
 }
 
@@ -246,6 +250,13 @@
 	// resets holds the connections lost within resetWindow, at most one per server.
 	resets  []connectionReset
 	version uint64
+	cells   cells
+	// arrivals counts the requests that this process and the peers that it hears have
+	// recently sent to engines.
+	arrivals arrivalRate
+	// coldFactor and coldSlack bound the requests to a cold server; see SetColdBounds.
+	coldFactor float64
+	coldSlack  float64
 }
 
 // New returns a fleet without servers.
@@ -260,6 +271,10 @@
 		coldRate:         make(map[string]float64),
 		evacuated:        make(map[string]bool),
 		serviceSlowdowns: make(map[string]*movingMean),
+		cells: cells{
+			own:   pwcell.Whole(),
+			stale: true,
+		},
 	}
 }
 
@@ -279,6 +294,7 @@
 func (f *Fleet) Configure(services []pwcatalog.Service) {
 	clear(f.models)
 	clear(f.coldRate)
+	f.cells.stale = true
 	for i := range services {
 		s := &services[i]
 		if s.Engine != nil {
@@ -303,12 +319,9 @@
 		f.servers[info.ID] = s
 		f.byHash[s.hash] = s
 		for _, p := range f.peers {
-			for _, l := range p.loads {
-				if l.Server == s.hash {
-					s.peerLoad.addScaled(l.Load, 1)
-				}
-			}
+			s.peerLoad.addScaled(p.loads[s.hash], 1)
 		}
+		f.cells.stale = true
 		sorted := append(slices.Clone(f.byService[info.Service]), s)
 		slices.SortFunc(sorted, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
 		f.byService[info.Service] = sorted
@@ -317,6 +330,9 @@
 		s.slowdown, s.slowUntil, s.slowDuration = movingMean{}, time.Time{}, 0
 		s.coldUntil, s.coldBucket = time.Time{}, tokenBucket{}
 	}
+	if s.info.DataCentre != info.DataCentre {
+		f.cells.stale = true
+	}
 	s.info = info
 	s.lapsesAt = time.Time{}
 	s.replaced = false
@@ -341,6 +357,7 @@
 	}
 	delete(f.servers, id)
 	delete(f.byHash, s.hash)
+	f.cells.stale = true
 	servers := f.byService[s.info.Service]
 	f.byService[s.info.Service] = slices.DeleteFunc(slices.Clone(servers), func(o *server) bool { return o == s })
 }
@@ -357,13 +374,32 @@
 // SetPeerLoads replaces the loads that a peer has in flight.
 func (f *Fleet) SetPeerLoads(now time.Time, name string, loads []ServerLoad) {
 	f.removePeer(name)
-	f.peers[name] = &peer{
-		loads:      loads,
-		receivedAt: now,
+	f.UpdatePeerLoads(now, name, loads)
+}
+
+// UpdatePeerLoads replaces the loads that a peer has in flight on some servers. A zero
+// load removes that of the server.
+func (f *Fleet) UpdatePeerLoads(now time.Time, name string, changed []ServerLoad) {
+	p := f.peers[name]
+	if p == nil {
+		p = &peer{
+			loads: make(map[uint64]Load, len(changed)),
+		}
+		f.peers[name] = p
 	}
-	for _, l := range loads {
+	p.receivedAt = now
+	for _, l := range changed {
 		if s := f.byHash[l.Server]; s != nil {
+			s.peerLoad.addScaled(p.loads[l.Server], -1)
 			s.peerLoad.addScaled(l.Load, 1)
+			if _, ok := f.models[s.info.Service]; ok {
+				f.arrivals.add(now, l.Requests-p.loads[l.Server].Requests)
+			}
+		}
+		if l.isZero() {
+			delete(p.loads, l.Server)
+		} else {
+			p.loads[l.Server] = l.Load
 		}
 	}
 }
@@ -385,15 +421,15 @@
 	if p == nil {
 		return
 	}
-	for _, l := range p.loads {
-		if s := f.byHash[l.Server]; s != nil {
-			s.peerLoad.addScaled(l.Load, -1)
+	for hash, l := range p.loads {
+		if s := f.byHash[hash]; s != nil {
+			s.peerLoad.addScaled(l, -1)
 		}
 	}
 	delete(f.peers, name)
 }
 
-// ProcessCount returns the number of processes that send work, including this one.
+// ProcessCount returns the number of processes whose loads are known, including this one.
 func (f *Fleet) ProcessCount() int { return len(f.peers) + 1 }
 
 // OwnLoads returns the loads that this process has in flight, without servers that
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -82,7 +82,7 @@
 // and the number of usable engines.
 func (f *Fleet) Backlog(now time.Time, service string) (perEngine float64, engines int) {
 	total := 0.0
-	for _, s := range f.byService[service] {
+	for _, s := range f.inCell(service) {
 		if f.unusableReason(now, s, nil) == "" {
 			total += s.load().PrefillMS
 			engines++
@@ -114,18 +114,6 @@
 	return ""
 }
 
-// coldRateAllows reports whether this process may send one more request to a cold
-// server. Each process gets an equal share of the server's rate.
-func (f *Fleet) coldRateAllows(now time.Time, s *server) bool {
-	rate := f.coldRate[s.info.Service]
-	if rate <= 0 {
-		return true
-	}
-	share := rate / float64(f.ProcessCount())
-	s.coldBucket.refill(now, share, max(1, share/4))
-	return s.coldBucket.tokens >= 1
-}
-
 // reasonFull is the reason for a server that has just rejected a request because it
 // was full.
 const reasonFull = "full"
@@ -142,24 +130,24 @@
 		"no backend server of %q may get work: %v", service, reasons)
 }
 
-// candidates returns the servers that may get work. Suspect servers are among them
-// only if there are no others.
+// candidates returns the servers that may get work: those of the own cell, or if there
+// are none, those of other cells. Suspect servers are among them only if there are no
+// others.
 func (f *Fleet) candidates(now time.Time, r Request) ([]*server, error) {
-	var out []*server
+	cell, all := f.inCell(r.Service), f.byService[r.Service]
 	reasons := make(map[string]int)
-	for _, s := range f.byService[r.Service] {
-		reason := f.unusableReason(now, s, r.Exclude)
-		if reason == "" {
-			out = append(out, s)
-			continue
+	for _, list := range [][]*server{cell, all} {
+		if out := f.usable(now, r, list, reasons); len(out) > 0 {
+			return out, nil
 		}
-		reasons[reason]++
-	}
-	if len(out) > 0 {
-		return out, nil
+		if len(cell) == len(all) {
+			break
+		}
+		clear(reasons)
 	}
 	// A suspect server may still succeed, so it is preferred to a refusal.
-	for _, s := range f.byService[r.Service] {
+	var out []*server
+	for _, s := range all {
 		if now.Before(s.suspectUntil) {
 			until := s.suspectUntil
 			s.suspectUntil = time.Time{}
@@ -175,6 +163,20 @@
 	return out, nil
 }
 
+// usable returns the servers of a list that may get work, and counts the others in
+// reasons.
+func (f *Fleet) usable(now time.Time, r Request, list []*server, reasons map[string]int) []*server {
+	var out []*server
+	for _, s := range list {
+		if reason := f.unusableReason(now, s, r.Exclude); reason != "" {
+			reasons[reason]++
+			continue
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
 // Plan selects the servers for a request. The error always has the verdict NotRun. Its
 // cause is CausePrefillBusy, CauseMemoryFull or CauseConcurrencyFull if the request
 // should wait for busy servers, and CauseNoCandidate if no server may get work.
@@ -188,7 +190,7 @@
 	case !ok:
 		return f.planPlain(r, cands), nil
 	case m.PrefillMS(r.PromptTokens) <= f.cfg.ShortPrefillMS:
-		return planPreferringFast(now, cands, func(cands []*server) (Plan, error) { return f.planShort(r, m, cands) })
+		return planPreferringFast(now, cands, func(cands []*server) (Plan, error) { return f.planShort(now, r, m, cands) })
 	default:
 		return planPreferringFast(now, cands, func(cands []*server) (Plan, error) { return f.planLong(now, r, m, cands) })
 	}
@@ -220,11 +222,12 @@
 
 // planShort packs short prompts onto the first engines in the order whose iterations
 // stay below Config.ShortIterationMS.
-func (f *Fleet) planShort(r Request, m pwcost.Model, cands []*server) (Plan, error) {
+func (f *Fleet) planShort(now time.Time, r Request, m pwcost.Model, cands []*server) (Plan, error) {
 	prefillMS := m.PrefillMS(r.PromptTokens)
 	slots := max(1, m.Engine().Slots)
 	maxRequests := max(1, int(f.cfg.ShortFill*float64(slots)))
-	window := 1 + f.ProcessCount()/f.cfg.ProcessesPerEngine
+	// The requests that other processes have just sent, in the same order, are spread.
+	window := min(len(cands), 1+int(math.Ceil(windowPerUnseen*f.unseenRequests(now))))
 	fitting := make([]*server, 0, window)
 	var best *server
 	bestIterationMS := math.Inf(1)
@@ -235,10 +238,8 @@
 		}
 		iterationMS := m.IterationMS(l.Requests+1, l.MemoryTokens+r.PromptTokens, l.PrefillMS+prefillMS)
 		if iterationMS <= f.cfg.ShortIterationMS && l.Requests < maxRequests && s.failureScore < 1 {
-			// A random choice among several engines prevents processes that decide at
-			// the same time, in the same order, from choosing the same engine.
 			if fitting = append(fitting, s); len(fitting) >= window {
-				return f.newShortPlan(r, fitting[f.randIntN(len(fitting))], prefillMS, "packed"), nil
+				return f.newShortPlan(r, f.pickShort(fitting), prefillMS, "packed"), nil
 			}
 			continue
 		}
@@ -247,7 +248,7 @@
 		}
 	}
 	if len(fitting) > 0 {
-		return f.newShortPlan(r, fitting[f.randIntN(len(fitting))], prefillMS, "packed"), nil
+		return f.newShortPlan(r, f.pickShort(fitting), prefillMS, "packed"), nil
 	}
 	if best == nil {
 		if !r.Urgent {
@@ -565,6 +566,9 @@
 		l.MediumStreams = 1
 	}
 	a.add(p.Server.ID, l)
+	if p.maxGap > 0 {
+		f.arrivals.add(now, 1)
+	}
 	for i, h := range p.Helpers {
 		helperLoad := Load{
 			PrefillMS: partMS,
--- a/internal/node/pwgateway/budgets.go
+++ b/internal/node/pwgateway/budgets.go
@@ -25,8 +25,10 @@
 	services map[string]*pwretry.Budget
 	peers    map[string]peerCounts
 	// maxProcesses is the largest number of processes, this one included, that
-	// were active at the same time.
-	maxProcesses int
+	// were active at the same time. listedProcesses is the number of listed ones,
+	// which includes those of other cells.
+	maxProcesses    int
+	listedProcesses int
 }
 
 // peerCounts holds what a peer last reported, by the hash of the service's name.
@@ -46,7 +48,8 @@
 
 // forService returns the budget of a service, updated with the requests and retries
 // of the peers. The floor, the part of the budget that does not depend on requests,
-// is divided among all processes: inactive peers may still be using their share.
+// is divided among all processes: inactive peers and processes of other cells use their
+// shares.
 func (b *retryBudgets) forService(now time.Time, service string) *pwretry.Budget {
 	budget := b.services[service]
 	if budget == nil {
@@ -72,10 +75,13 @@
 		others.Retries += p.byService[hash].Retries
 	}
 	b.maxProcesses = max(b.maxProcesses, freshProcesses)
-	budget.SetPeerCounts(others, float64(freshProcesses)/float64(b.maxProcesses))
+	budget.SetPeerCounts(others, float64(freshProcesses)/float64(max(b.maxProcesses, b.listedProcesses)))
 	return budget
 }
 
+// setProcessCount sets the number of listed processes, this one included.
+func (b *retryBudgets) setProcessCount(n int) { b.listedProcesses = n }
+
 // mergePeer replaces the counts of a peer.
 func (b *retryBudgets) mergePeer(now time.Time, peer string, list []pwpeering.BudgetUsage) {
 	p := peerCounts{
--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwquarantine"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
@@ -127,23 +126,6 @@
 	return out
 }
 
-// OwnLoads implements pwpeering.View.
-func (g *Gateway) OwnLoads() []pwfleet.ServerLoad { return g.dispatcher.ownLoads() }
-
-// OwnBudgets implements pwpeering.View.
-func (g *Gateway) OwnBudgets() []pwpeering.BudgetUsage { return g.dispatcher.ownBudgets() }
-
-// OwnCrashes implements pwpeering.View.
-func (g *Gateway) OwnCrashes() []pwpeering.Crash { return g.crashes.gossip() }
-
-// MergePeer implements pwpeering.View.
-func (g *Gateway) MergePeer(peer string, m pwpeering.Message) {
-	for _, c := range m.Crashes {
-		g.crashes.record(c.Fingerprint, c.Attempt, max(time.Millisecond, time.Duration(c.AgeMS)*time.Millisecond))
-	}
-	g.dispatcher.mergePeer(peer, m)
-}
-
 // probeCrash connects to a server after a broken response. It records a crash if
 // the server no longer listens.
 func (g *Gateway) probeCrash(x *exchange, address string) {
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -12,12 +12,12 @@
 	"github.com/apex/log"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
-	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 )
 
 // scheduleInterval is how often the queue is scheduled without any other event:
@@ -78,9 +78,12 @@
 	waiting      []*pendingRequest
 	retryBudgets *retryBudgets
 	usage        workspaceUsage
+	// loggedCell is the cell that was last logged.
+	loggedCell pwcell.Cell
 }
 
 func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
+	f.SetColdBounds(d.Bounds.ColdRateFactor, d.Bounds.ColdRateSlack)
 	return &dispatcher{
 		deployment:   d,
 		policy:       p,
@@ -106,7 +109,10 @@
 	defer d.mu.Unlock()
 	if b != d.deployment.Bounds {
 		d.deployment.Bounds = b
+		processes := d.retryBudgets.listedProcesses
 		d.retryBudgets = newRetryBudgets(b)
+		d.retryBudgets.setProcessCount(processes)
+		d.fleet.SetColdBounds(b.ColdRateFactor, b.ColdRateSlack)
 	}
 }
 
@@ -129,28 +135,6 @@
 	}
 }
 
-// ownLoads returns the load that this process has in flight on each server.
-func (d *dispatcher) ownLoads() []pwfleet.ServerLoad {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.fleet.OwnLoads()
-}
-
-func (d *dispatcher) mergePeer(name string, m pwpeering.Message) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	d.fleet.SetPeerLoads(now, name, m.Loads)
-	d.retryBudgets.mergePeer(now, name, m.Budgets)
-	d.schedule(now)
-}
-
-func (d *dispatcher) ownBudgets() []pwpeering.BudgetUsage {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.retryBudgets.ownCounts(time.Now())
-}
-
 func (d *dispatcher) maintain(now time.Time) {
 	d.mu.Lock()
 	expired := d.fleet.ExpirePeers(now)
--- /dev/null
+++ b/internal/node/pwgateway/peers.go
@@ -0,0 +1,91 @@
+package pwgateway
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
+)
+
+// SetProcesses replaces the list of the processes that share the fleet. self is this
+// process.
+func (g *Gateway) SetProcesses(self pwcell.Member, list []pwcell.Member) {
+	g.dispatcher.setProcesses(self, list)
+}
+
+// Cell implements pwpeering.View.
+func (g *Gateway) Cell() (own pwcell.Cell, peers map[string]bool) { return g.dispatcher.cell() }
+
+// OwnLoads implements pwpeering.View.
+func (g *Gateway) OwnLoads() []pwfleet.ServerLoad { return g.dispatcher.ownLoads() }
+
+// OwnBudgets implements pwpeering.View.
+func (g *Gateway) OwnBudgets() []pwpeering.BudgetUsage { return g.dispatcher.ownBudgets() }
+
+// OwnCrashes implements pwpeering.View.
+func (g *Gateway) OwnCrashes() []pwpeering.Crash { return g.crashes.gossip() }
+
+// MergePeer implements pwpeering.View.
+func (g *Gateway) MergePeer(peer string, m pwpeering.Message) {
+	for _, c := range m.Crashes {
+		g.crashes.record(c.Fingerprint, c.Attempt, max(time.Millisecond, time.Duration(c.AgeMS)*time.Millisecond))
+	}
+	g.dispatcher.mergePeer(peer, m)
+}
+
+func (d *dispatcher) setProcesses(self pwcell.Member, list []pwcell.Member) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.SetProcesses(self, list)
+	d.retryBudgets.setProcessCount(len(list))
+}
+
+// cell returns the cell of this process, and logs it when it has changed.
+func (d *dispatcher) cell() (own pwcell.Cell, peers map[string]bool) {
+	d.mu.Lock()
+	own, peers = d.fleet.Cell()
+	changed := own != d.loggedCell
+	d.loggedCell = own
+	d.mu.Unlock()
+	if changed {
+		d.obs.LogEvent("cell", log.Fields{
+			"index": own.Index,
+			"count": own.Count,
+			"peers": len(peers),
+		})
+	}
+	return own, peers
+}
+
+// ownLoads returns the load that this process has in flight on each server.
+func (d *dispatcher) ownLoads() []pwfleet.ServerLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.OwnLoads()
+}
+
+func (d *dispatcher) mergePeer(name string, m pwpeering.Message) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if m.Full {
+		d.fleet.SetPeerLoads(now, name, m.Loads)
+	} else {
+		d.fleet.UpdatePeerLoads(now, name, m.Loads)
+	}
+	if len(m.Budgets) > 0 {
+		d.retryBudgets.mergePeer(now, name, m.Budgets)
+	}
+	if m.Full || len(m.Loads) > 0 {
+		d.schedule(now)
+	}
+}
+
+func (d *dispatcher) ownBudgets() []pwpeering.BudgetUsage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retryBudgets.ownCounts(time.Now())
+}
--- a/internal/node/pwpeering/directory.go
+++ b/internal/node/pwpeering/directory.go
@@ -12,7 +12,7 @@
 // Intervals of a Directory. They are long because each call to the store has a cost.
 const (
 	// readInterval is how often the list of processes is read. Between readings,
-	// processes discover each other from load messages.
+	// a message of a process that isn't listed triggers a reading.
 	readInterval = 30 * time.Second
 	// renewInterval is how often a process rewrites its own row.
 	renewInterval = 5 * time.Minute
@@ -22,6 +22,8 @@
 	minRetryDelay  = 300 * time.Millisecond
 	maxRetryDelay  = time.Second
 	refreshTimeout = 2 * time.Second
+	// minRefreshInterval limits the readings that Refresh triggers.
+	minRefreshInterval = 2 * time.Second
 )
 
 // initialReadDelays are the delays after the first readings of the list. They are
@@ -38,10 +40,12 @@
 
 // Directory registers this process in the store and discovers the other processes.
 type Directory struct {
-	table      Table
-	self       pwinstance.Instance
-	onInstance func(pwinstance.Instance)
-	obs        *pwobserve.Observer
+	table  Table
+	self   pwinstance.Instance
+	onList func([]pwinstance.Instance)
+	obs    *pwobserve.Observer
+	// refreshNow triggers a reading of the list.
+	refreshNow chan struct{}
 	// registeredAt is when the row of this process was last written; zero before the
 	// first write.
 	registeredAt time.Time
@@ -49,14 +53,24 @@
 	inOutage bool
 }
 
-// NewDirectory returns a directory that registers self. onInstance is called for
-// each listed process at every reading; it may be nil.
-func NewDirectory(table Table, self pwinstance.Instance, onInstance func(pwinstance.Instance), obs *pwobserve.Observer) *Directory {
+// NewDirectory returns a directory that registers self. onList is called with the
+// processes whose rows have not expired at every reading; it may be nil.
+func NewDirectory(table Table, self pwinstance.Instance, onList func([]pwinstance.Instance), obs *pwobserve.Observer) *Directory {
 	return &Directory{
 		table:      table,
 		self:       self,
-		onInstance: onInstance,
+		onList:     onList,
 		obs:        obs,
+		refreshNow: make(chan struct{}, 1),
+	}
+}
+
+// Refresh triggers a reading of the list, at most one within minRefreshInterval. It does
+// not block.
+func (d *Directory) Refresh() {
+	select {
+	case d.refreshNow <- struct{}{}:
+	default:
 	}
 }
 
@@ -86,10 +100,25 @@
 			delay = retryDelay
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(delay):
-		}
+		d.sleep(ctx, delay)
+	}
+}
+
+// sleep waits for d, or until ctx is cancelled, or until Refresh was called and
+// minRefreshInterval has passed.
+func (d *Directory) sleep(ctx context.Context, delay time.Duration) {
+	next := time.After(delay)
+	select {
+	case <-ctx.Done():
+		return
+	case <-next:
+		return
+	case <-time.After(min(delay, minRefreshInterval)):
+	}
+	select {
+	case <-ctx.Done():
+	case <-next:
+	case <-d.refreshNow:
 	}
 }
 
@@ -102,19 +131,25 @@
 	if err != nil {
 		return err
 	}
+	current := make([]pwinstance.Instance, 0, len(snap.Items))
 	for _, it := range snap.Items {
 		if it.Err != nil {
 			continue
 		}
-		if d.onInstance != nil {
-			d.onInstance(it.Value)
+		if !isExpired(snap.NowMS, it.Value) {
+			current = append(current, it.Value)
+			continue
 		}
-		if isExpired(snap.NowMS, it.Value) && it.Key != string(d.self.ID) {
-			if err := d.table.Remove(ctx, it.Key, it.Version); err != nil {
-				d.obs.Warn("removing the expired row of a process failed", err, "instance_removed", it.Key)
-			}
+		if it.Key == string(d.self.ID) {
+			continue
+		}
+		if err := d.table.Remove(ctx, it.Key, it.Version); err != nil {
+			d.obs.Warn("removing the expired row of a process failed", err, "instance_removed", it.Key)
 		}
 	}
+	if d.onList != nil {
+		d.onList(current)
+	}
 	if !d.registeredAt.IsZero() && time.Since(d.registeredAt) < renewInterval {
 		return nil
 	}
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -1,25 +1,29 @@
 // Package pwpeering exchanges over UDP the load that each process puts on the
-// backend servers, and maintains the list of processes in the store. Each message
-// holds everything that its sender has in flight, so the next message makes up for a
-// lost one. Sequence numbers identify messages that arrive out of order.
+// backend servers, and maintains the list of processes in the store.
+//
+// A process tells the processes of its own cell, as pwcell divides them. A message holds
+// the servers whose load has changed since the last one; once in fullInterval it holds
+// all of them, which makes up for lost messages. Crashes of backend servers go to all
+// processes, because their requests come again anywhere. Sequence numbers identify
+// messages that arrive out of order. Messages of processes that are not listed are not
+// merged.
 //
 // # Usage
 //
-//	x := pwpeering.New(pwpeering.Config{Instance: "front-1", Address: "10.1.0.4:7340"}, view, obs)
+//	x := pwpeering.New(pwpeering.Config{Address: "10.1.0.4:7340"}, view, obs)
 //	go x.Run(ctx)
+//	x.SetPeers([]pwpeering.Peer{{Name: "front-2", Address: "10.2.0.4:7340"}})
 //	x.NotifyLoadChanged()
-//	x.AddPeer("10.2.0.4:7340")
 package pwpeering
 
 import (
-	"bytes"
 	"context"
-	"encoding/binary"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
@@ -27,55 +31,25 @@
 
 // Bounds and intervals.
 const (
-	// DefaultHeartbeat is the interval at which the load is sent even if it has not
-	// changed, for peers that missed a message.
+	// DefaultHeartbeat is the interval at which a message is sent even if the load has
+	// not changed.
 	DefaultHeartbeat = 200 * time.Millisecond
 	// DefaultPacePerPeer is the pause per recipient after a message. It limits the
 	// cost of changes: the more peers there are, the less often messages are sent.
 	DefaultPacePerPeer = 600 * time.Microsecond
+	// fullInterval is the interval of messages with the load on all servers.
+	fullInterval = time.Second
 	// ActiveTimeout is how long after its last message a peer counts as active.
 	// Peers that are not active receive only heartbeats.
 	ActiveTimeout = 3 * time.Second
-	// peerRetention is how long after its last message a peer is removed.
-	peerRetention = 60 * time.Second
 	maxPeers      = 1024
-	// maxMessageBytes is the size of the receive buffer.
-	maxMessageBytes = 60 << 10
-	maxLoads        = 2000
-	maxCrashes      = 32
-	maxBudgets      = 64
-	// messageMagic is the first field of every message.
-	messageMagic = uint32(0x70776c32)
 )
 
-// Crash is a crash of a backend server while it processed a request.
-type Crash struct {
-	// Fingerprint is a hash of the request's path, caller and body.
-	Fingerprint uint64
-	// Attempt identifies the attempt.
-	Attempt uint64
-	// AgeMS is how long ago the crash was, in milliseconds.
-	AgeMS uint32
-}
-
-// BudgetUsage is a process's recent use of the retry budget of a service: its requests
-// and retries.
-type BudgetUsage struct {
-	// Service is a hash of the service's name.
-	Service  uint64
-	Requests uint32
-	Retries  uint32
-}
-
-// Message is the decoded content of a load message.
-type Message struct {
-	Loads   []pwfleet.ServerLoad
-	Crashes []Crash
-	Budgets []BudgetUsage
-}
-
 // View provides the state that this process sends and receives the state of its peers.
 type View interface {
+	// Cell returns the cell of this process and the names of the other listed processes
+	// in it.
+	Cell() (own pwcell.Cell, peers map[string]bool)
 	// OwnLoads returns the load that this process has in flight on each server.
 	OwnLoads() []pwfleet.ServerLoad
 	// OwnBudgets returns this process's recent use of each service's retry budget.
@@ -88,22 +62,37 @@
 
 // Config configures an Exchange.
 type Config struct {
-	// Instance is the name of this process.
-	Instance string
 	// Address is the UDP address to listen on, IP:PORT.
 	Address     string
 	Heartbeat   time.Duration
 	PacePerPeer time.Duration
+	// OnUnknownSender is called for a message of a process that isn't listed; it may be
+	// nil.
+	OnUnknownSender func()
+}
+
+// Peer is another process that is listed.
+type Peer struct {
+	Name string
+	// Address is its UDP address, IP:PORT.
+	Address string
 }
 
-// peer is another process that exchanges load messages with this one.
+// peer is another process that exchanges messages with this one.
 type peer struct {
-	addr        netip.AddrPort
+	name        string
 	lastSeen    time.Time
-	sequence    uint64
 	incarnation uint64
+	sequence    uint64
+	// cell is what the last message of the peer states; it is not valid before the first.
+	cell pwcell.Cell
+	// needsFull is set until the peer was sent a message with all loads after it was
+	// first heard.
+	needsFull bool
 }
 
+func (p *peer) isActive() bool { return p.sequence > 0 && time.Since(p.lastSeen) < ActiveTimeout }
+
 // Exchange sends and receives load messages.
 type Exchange struct {
 	cfg         Config
@@ -111,10 +100,14 @@
 	obs         *pwobserve.Observer
 	conn        *net.UDPConn
 	loadChanged chan struct{}
-	// incarnation is the start time of the process. A new value means that the
-	// sequence numbers start again.
 	incarnation uint64
 
+	// sequence, sentLoads and fullSentAt belong to loopSend. sentLoads holds the loads
+	// that the last messages stated.
+	sequence   uint64
+	sentLoads  map[uint64]pwfleet.Load
+	fullSentAt time.Time
+
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
 }
@@ -131,32 +124,43 @@
 	if err != nil {
 		return nil, err
 	}
+	x := newExchange(cfg, view, obs)
+	x.conn = conn
+	return x, nil
+}
+
+func newExchange(cfg Config, view View, obs *pwobserve.Observer) *Exchange {
 	return &Exchange{
 		cfg:         cfg,
 		view:        view,
 		obs:         obs,
-		conn:        conn,
 		loadChanged: make(chan struct{}, 1),
 		incarnation: uint64(time.Now().UnixNano()),
+		sentLoads:   make(map[uint64]pwfleet.Load),
 		peers:       make(map[netip.AddrPort]*peer),
-	}, nil
+	}
 }
 
-// AddPeer adds a peer, unless the address is invalid or this process's own, or the
-// maximum number of peers is reached.
-func (x *Exchange) AddPeer(address string) {
-	addr, err := netip.ParseAddrPort(address)
-	if err != nil || address == x.cfg.Address {
-		return
-	}
+// SetPeers replaces the list of the other processes. It ignores invalid addresses, this
+// process's own, and those beyond maxPeers.
+func (x *Exchange) SetPeers(list []Peer) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.peers[addr] == nil && len(x.peers) < maxPeers {
-		x.peers[addr] = &peer{
-			addr:     addr,
-			lastSeen: time.Now(),
+	peers := make(map[netip.AddrPort]*peer, len(list))
+	for _, l := range list {
+		addr, err := netip.ParseAddrPort(l.Address)
+		if err != nil || l.Address == x.cfg.Address || len(peers) >= maxPeers {
+			continue
+		}
+		p := x.peers[addr]
+		if p == nil || p.name != l.Name {
+			p = &peer{
+				name: l.Name,
+			}
 		}
+		peers[addr] = p
 	}
+	x.peers = peers
 }
 
 // ActivePeers returns the number of peers that sent a message within ActiveTimeout.
@@ -165,7 +169,7 @@
 	defer x.mu.Unlock()
 	n := 0
 	for _, p := range x.peers {
-		if p.sequence > 0 && time.Since(p.lastSeen) < ActiveTimeout {
+		if p.isActive() {
 			n++
 		}
 	}
@@ -196,8 +200,6 @@
 func (x *Exchange) loopSend(ctx context.Context) {
 	ticker := time.NewTicker(x.cfg.Heartbeat)
 	defer ticker.Stop()
-	var sequence uint64
-	var buf bytes.Buffer
 	for {
 		heartbeat := false
 		select {
@@ -207,114 +209,137 @@
 		case <-ticker.C:
 			heartbeat = true
 		}
-		sequence++
-		recipients := x.recipients(heartbeat)
-		if len(recipients) == 0 {
-			continue
-		}
-		buf.Reset()
-		if err := x.encode(&buf, sequence); err != nil {
-			x.obs.Warn("encoding a load message failed", err)
-			continue
-		}
-		for _, addr := range recipients {
-			// A failed send is only counted: the next heartbeat repeats the load.
-			if _, err := x.conn.WriteToUDPAddrPort(buf.Bytes(), addr); err != nil {
-				x.obs.Count("peer_send_errors", 1)
+		sent := 0
+		for _, d := range x.nextDatagrams(heartbeat) {
+			for _, addr := range d.recipients {
+				// A failed send is only counted: later messages repeat the load.
+				if _, err := x.conn.WriteToUDPAddrPort(d.raw, addr); err != nil {
+					x.obs.Count("peer_send_errors", 1)
+				}
 			}
+			sent += len(d.recipients)
 		}
-		x.obs.Count("peer_messages_sent", int64(len(recipients)))
+		x.obs.Count("peer_messages_sent", int64(sent))
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(x.cfg.PacePerPeer * time.Duration(len(recipients))):
+		case <-time.After(x.cfg.PacePerPeer * time.Duration(sent)):
 		}
 	}
 }
 
-// recipients removes peers whose retention has passed and returns the addresses to
-// which the next message is sent.
-func (x *Exchange) recipients(heartbeat bool) []netip.AddrPort {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	out := make([]netip.AddrPort, 0, len(x.peers))
-	for addr, p := range x.peers {
-		inactivity := time.Since(p.lastSeen)
-		if inactivity > peerRetention {
-			delete(x.peers, addr)
-			continue
-		}
-		if heartbeat || inactivity < ActiveTimeout {
-			out = append(out, addr)
+// datagram is an encoded message with the addresses that it is sent to.
+type datagram struct {
+	raw        []byte
+	recipients []netip.AddrPort
+}
+
+// nextDatagrams returns the messages that are due: the changed loads for the processes
+// of the own cell, as several messages if one can't hold them, and crashes for all
+// others.
+func (x *Exchange) nextDatagrams(heartbeat bool) []datagram {
+	cell, listed := x.view.Cell()
+	inCell, others, needsFull := x.recipients(cell, listed, heartbeat)
+	m := Message{
+		Full: needsFull || time.Since(x.fullSentAt) >= fullInterval,
+	}
+	if m.Full {
+		x.fullSentAt = time.Now()
+		clear(x.sentLoads)
+	}
+	changed := x.changedLoads()
+	if heartbeat {
+		m.Crashes = firstN(x.view.OwnCrashes(), maxCrashes)
+		m.Budgets = firstN(x.view.OwnBudgets(), maxBudgets)
+	}
+	if len(changed) == 0 && !m.Full && !heartbeat {
+		return nil
+	}
+	var out []datagram
+	crashes := m.Crashes
+	for {
+		m.Loads = firstN(changed, maxLoads)
+		changed = changed[len(m.Loads):]
+		out = append(out, x.newDatagram(cell, m, inCell))
+		if len(changed) == 0 {
+			break
 		}
+		m = Message{}
+	}
+	if len(crashes) > 0 && len(others) > 0 {
+		out = append(out, x.newDatagram(cell, Message{
+			Crashes: crashes,
+		}, others))
 	}
 	return out
 }
 
-// header is the fixed-size header of a message. It is followed by the load records,
-// the crashes and the budgets, all in little-endian byte order.
-type header struct {
-	Magic       uint32
-	Incarnation uint64
-	Sequence    uint64
-	Instance    [64]byte
-	LoadCount   uint16
-	CrashCount  uint16
-	BudgetCount uint16
-}
+func firstN[T any](list []T, n int) []T { return list[:min(len(list), n)] }
 
-// loadRecord is the wire format of the load on one server.
-type loadRecord struct {
-	Server   uint64
-	ReadMS   float32
-	Tight    uint16
-	Medium   uint16
-	Requests uint16
-	Memory   uint32
+func (x *Exchange) newDatagram(cell pwcell.Cell, m Message, recipients []netip.AddrPort) datagram {
+	x.sequence++
+	return datagram{
+		raw: encodeMessage(envelope{
+			incarnation: x.incarnation,
+			sequence:    x.sequence,
+			cell:        cell,
+		}, m),
+		recipients: recipients,
+	}
 }
 
-func (x *Exchange) encode(buf *bytes.Buffer, sequence uint64) error {
+// changedLoads returns the loads that differ from sentLoads, and updates it. A load that
+// has ended is returned as zero.
+func (x *Exchange) changedLoads() []pwfleet.ServerLoad {
 	loads := x.view.OwnLoads()
-	loads = loads[:min(len(loads), maxLoads)]
-	crashes := x.view.OwnCrashes()
-	crashes = crashes[:min(len(crashes), maxCrashes)]
-	budgets := x.view.OwnBudgets()
-	budgets = budgets[:min(len(budgets), maxBudgets)]
-	h := header{
-		Magic:       messageMagic,
-		Incarnation: x.incarnation,
-		Sequence:    sequence,
-		LoadCount:   uint16(len(loads)),
-		CrashCount:  uint16(len(crashes)),
-		BudgetCount: uint16(len(budgets)),
-	}
-	copy(h.Instance[:], x.cfg.Instance)
-	if err := binary.Write(buf, binary.LittleEndian, &h); err != nil {
-		return err
-	}
-	records := make([]loadRecord, len(loads))
-	for i, l := range loads {
-		records[i] = loadRecord{
-			Server:   l.Server,
-			ReadMS:   float32(l.PrefillMS),
-			Tight:    uint16(l.TightStreams),
-			Medium:   uint16(l.MediumStreams),
-			Requests: uint16(l.Requests),
-			Memory:   uint32(max(0, l.MemoryTokens)),
+	var changed []pwfleet.ServerLoad
+	current := make(map[uint64]pwfleet.Load, len(loads))
+	for _, l := range loads {
+		current[l.Server] = l.Load
+		if x.sentLoads[l.Server] != l.Load {
+			changed = append(changed, l)
 		}
 	}
-	if err := binary.Write(buf, binary.LittleEndian, records); err != nil {
-		return err
+	for server := range x.sentLoads {
+		if _, ok := current[server]; !ok {
+			changed = append(changed, pwfleet.ServerLoad{
+				Server: server,
+			})
+		}
 	}
-	if err := binary.Write(buf, binary.LittleEndian, crashes); err != nil {
-		return err
+	x.sentLoads = current
+	return changed
+}
+
+// recipients returns the addresses of the processes of the own cell and, for a
+// heartbeat, those of all others. Between heartbeats only active processes get messages.
+// A process that states its cell in recent messages is believed; the list decides about
+// others. needsFull is set if one of them has to be sent all loads.
+func (x *Exchange) recipients(own pwcell.Cell, listed map[string]bool, heartbeat bool) (inCell, others []netip.AddrPort, needsFull bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	inCell = make([]netip.AddrPort, 0, len(listed))
+	for addr, p := range x.peers {
+		active := p.isActive()
+		sharesCell := listed[p.name]
+		if active {
+			sharesCell = p.cell.Overlaps(own)
+		}
+		switch {
+		case sharesCell && (active || heartbeat):
+			inCell = append(inCell, addr)
+			needsFull = needsFull || p.needsFull
+			p.needsFull = false
+		case !sharesCell && heartbeat:
+			others = append(others, addr)
+		}
 	}
-	return binary.Write(buf, binary.LittleEndian, budgets)
+	return inCell, others, needsFull
 }
 
 func (x *Exchange) loopReceive(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	buf := make([]byte, maxMessageBytes)
+	buf := make([]byte, maxMessageBytes+1)
 	for {
 		n, from, err := x.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
@@ -335,76 +360,50 @@
 	}
 }
 
-// handleMessage decodes a message and merges it, unless it is out of date.
+// handleMessage decodes a message and merges it, unless it is out of date or its sender
+// isn't listed. Of a process in another cell only the crashes are merged.
 func (x *Exchange) handleMessage(raw []byte, from netip.AddrPort) error {
-	r := bytes.NewReader(raw)
-	var h header
-	if err := binary.Read(r, binary.LittleEndian, &h); err != nil {
-		return err
-	}
-	if h.Magic != messageMagic || h.LoadCount > maxLoads || h.CrashCount > maxCrashes || h.BudgetCount > maxBudgets {
-		return errMalformedMessage
-	}
-	records := make([]loadRecord, h.LoadCount)
-	if err := binary.Read(r, binary.LittleEndian, records); err != nil {
-		return err
-	}
-	crashes := make([]Crash, h.CrashCount)
-	if err := binary.Read(r, binary.LittleEndian, crashes); err != nil {
-		return err
-	}
-	budgets := make([]BudgetUsage, h.BudgetCount)
-	if err := binary.Read(r, binary.LittleEndian, budgets); err != nil {
+	e, m, err := parseMessage(raw)
+	if err != nil {
 		return err
 	}
-	if !x.acceptNewer(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), &h) {
+	name, ok := x.acceptNewer(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), e)
+	if !ok {
 		return nil
 	}
-	loads := make([]pwfleet.ServerLoad, len(records))
-	for i, rec := range records {
-		loads[i] = pwfleet.ServerLoad{
-			Server: rec.Server,
-			Load: pwfleet.Load{
-				PrefillMS:     float64(rec.ReadMS),
-				TightStreams:  int(rec.Tight),
-				MediumStreams: int(rec.Medium),
-				Requests:      int(rec.Requests),
-				MemoryTokens:  int64(rec.Memory),
-			},
+	if own, _ := x.view.Cell(); !e.cell.Overlaps(own) {
+		if len(m.Crashes) == 0 {
+			return nil
 		}
+		x.view.MergePeer(name, Message{
+			Crashes: m.Crashes,
+		})
+		return nil
 	}
-	x.view.MergePeer(string(bytes.TrimRight(h.Instance[:], "\x00")), Message{
-		Loads:   loads,
-		Crashes: crashes,
-		Budgets: budgets,
-	})
+	x.view.MergePeer(name, m)
 	return nil
 }
 
-// acceptNewer reports whether a message is newer than the last one of its sender, and
-// records it if so.
-func (x *Exchange) acceptNewer(from netip.AddrPort, h *header) bool {
+// acceptNewer returns the name of a message's sender. It returns false if the sender
+// isn't listed or if the message isn't newer than the last one.
+func (x *Exchange) acceptNewer(from netip.AddrPort, e envelope) (name string, ok bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.peers[from]
 	if p == nil {
-		if len(x.peers) >= maxPeers {
-			return false
+		x.obs.Count("peer_messages_unknown", 1)
+		if x.cfg.OnUnknownSender != nil {
+			x.cfg.OnUnknownSender()
 		}
-		p = &peer{
-			addr: from,
-		}
-		x.peers[from] = p
+		return "", false
 	}
-	if h.Incarnation == p.incarnation && h.Sequence <= p.sequence {
-		return false
+	// An incarnation is a start time, so messages of an earlier one are late.
+	if e.incarnation < p.incarnation || e.incarnation == p.incarnation && e.sequence <= p.sequence {
+		return "", false
 	}
-	p.incarnation, p.sequence, p.lastSeen = h.Incarnation, h.Sequence, time.Now()
-	return true
-}
-
-// MessageBytes returns the size in bytes of a message with the load on that many
-// servers and without crashes and budgets.
-func MessageBytes(loads int) int {
-	return binary.Size(header{}) + min(loads, maxLoads)*binary.Size(loadRecord{})
+	if e.incarnation != p.incarnation || !p.isActive() {
+		p.needsFull = true
+	}
+	p.incarnation, p.sequence, p.cell, p.lastSeen = e.incarnation, e.sequence, e.cell, time.Now()
+	return p.name, true
 }
