Let processes take turns to place waiting long prompts

Cause: all processes of a cell hear at the same moment that engines have become free, and those with a waiting long prompt placed it within 3 ms of each other on the same engines.

Change: messages state the rank and the amount of the long prompts that wait. The first engine of a long prompt is drawn among those that fit. Processes that do not hear the whole cell draw among equal engines. The estimated wait counts what peers report instead of assuming that their queues are as long as the own one.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -254,6 +254,8 @@
 	// arrivals counts the requests that this process and the peers that it hears have
 	// recently sent to engines.
 	arrivals arrivalRate
+	// freedMS is the prefill time that has ended on engines so far.
+	freedMS float64
 	// coldFactor and coldSlack bound the requests to a cold server; see SetColdBounds.
 	coldFactor float64
 	coldSlack  float64
@@ -282,6 +284,10 @@
 // load of this process.
 func (f *Fleet) Version() uint64 { return f.version }
 
+// FreedPrefillMS returns the prefill time, in milliseconds, that this process and its peers
+// have ended on engines so far. It never falls.
+func (f *Fleet) FreedPrefillMS() float64 { return f.freedMS }
+
 func (f *Fleet) randIntN(n int) int {
 	if n == 1 {
 		return 0
@@ -394,6 +400,7 @@
 			s.peerLoad.addScaled(l.Load, 1)
 			if _, ok := f.models[s.info.Service]; ok {
 				f.arrivals.add(now, l.Requests-p.loads[l.Server].Requests)
+				f.freedMS += max(0, p.loads[l.Server].PrefillMS-l.PrefillMS)
 			}
 		}
 		if l.isZero() {
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -274,6 +274,8 @@
 type candidate struct {
 	server *server
 	load   Load
+	// order decides between equal engines.
+	order uint64
 	// tier ranks the engine by the shortest gap that its streams allow; see tierIdle.
 	tier int
 	// headroomMS is the prefill time that the engine can accept before the gaps of
@@ -299,16 +301,9 @@
 	}
 	freeTokens := func(c candidate) int64 { return m.Engine().MemoryTokens - c.load.MemoryTokens }
 	partMS := totalMS / float64(len(chosen))
-	first, found := candidate{}, false
-	// The first engine holds the KV cache of the whole prompt and decodes the answer.
-	for _, c := range available {
-		if freeTokens(c) < neededTokens || c.headroomMS < partMS || c.load.Requests >= m.Engine().Slots {
-			continue
-		}
-		if !found || c.tier > first.tier || c.tier == first.tier && c.server.hash < first.server.hash {
-			first, found = c, true
-		}
-	}
+	first, found := f.chooseFirst(available, func(c candidate) bool {
+		return freeTokens(c) >= neededTokens && c.headroomMS >= partMS && c.load.Requests < m.Engine().Slots
+	})
 	if !found {
 		first = slices.MaxFunc(chosen, func(a, b candidate) int {
 			return cmp.Or(cmp.Compare(min(freeTokens(a), neededTokens), min(freeTokens(b), neededTokens)), -cmp.Compare(a.load.Requests, b.load.Requests))
@@ -346,19 +341,47 @@
 	}), m.Engine().MemoryTokens, neededTokens)
 }
 
+// chooseFirst draws the engine that holds the KV cache of a whole prompt and decodes the
+// answer: one of those in the highest tier that fit. Processes that decide at the same
+// time would otherwise take the same one, whose memory fits only one long prompt.
+func (f *Fleet) chooseFirst(available []candidate, fits func(candidate) bool) (first candidate, found bool) {
+	// The candidates are sorted by tier.
+	var highest []candidate
+	for _, c := range slices.Backward(available) {
+		if len(highest) > 0 && c.tier < highest[0].tier {
+			break
+		}
+		if fits(c) {
+			highest = append(highest, c)
+		}
+	}
+	if len(highest) == 0 {
+		return candidate{}, false
+	}
+	return highest[f.randIntN(len(highest))], true
+}
+
 // enginesWithFreeSlots returns the engines with a free slot that accept parts, sorted
-// by tier and then by the prefill in flight.
+// by tier and then by the prefill in flight. Equal ones are in the reverse of the order in
+// which short prompts fill them, or in a random one if processes of the cell are not
+// heard: these would otherwise choose the same engines.
 func (f *Fleet) enginesWithFreeSlots(now time.Time, m pwcost.Model, cands []*server) []candidate {
 	var available []candidate
+	shuffled := f.unheardShare() >= minShuffleShare
 	for _, s := range cands {
 		l := s.load()
 		if l.Requests >= m.Engine().Slots || now.Before(s.noPrefillUntil) {
 			continue
 		}
+		order := s.hash
+		if shuffled {
+			order = uint64(f.randIntN(math.MaxInt32))
+		}
 		tier, allowance := f.prefillAllowance(m, l)
 		available = append(available, candidate{
 			server:     s,
 			load:       l,
+			order:      order,
 			tier:       tier,
 			headroomMS: allowance - l.PrefillMS - f.cfg.FailurePenaltyMS*s.failureScore,
 		})
@@ -368,7 +391,7 @@
 			cmp.Compare(a.tier, b.tier),
 			cmp.Compare(a.load.PrefillMS, b.load.PrefillMS),
 			cmp.Compare(a.load.Requests, b.load.Requests),
-			-cmp.Compare(a.server.hash, b.server.hash),
+			-cmp.Compare(a.order, b.order),
 		)
 	})
 	return available
@@ -607,6 +630,7 @@
 	a.prefillEnded = true
 	for i := range a.loads {
 		p := &a.loads[i]
+		a.f.freedMS += p.load.PrefillMS
 		p.server.ownLoad.addScaled(Load{
 			PrefillMS: p.load.PrefillMS,
 		}, -1)
@@ -625,6 +649,7 @@
 	}
 	a.ended = true
 	for _, p := range a.loads {
+		a.f.freedMS += p.load.PrefillMS
 		p.server.ownLoad.addScaled(p.load, -1)
 	}
 	a.f.version++
--- a/internal/core/pwfleet/unseen.go
+++ b/internal/core/pwfleet/unseen.go
@@ -18,6 +18,9 @@
 	// windowPerUnseen is the number of engines that are considered for each unseen
 	// request, so that few engines get several of them.
 	windowPerUnseen = 2
+	// minShuffleShare is the share of unheard processes from which engines for long
+	// prompts are drawn.
+	minShuffleShare = 0.1
 )
 
 // arrivalRate estimates the rate of arrivals.
@@ -51,9 +54,7 @@
 // to engines without this process knowing: those that peers sent since their last
 // messages, and all requests of listed peers that are not heard.
 func (f *Fleet) unseenRequests(now time.Time) float64 {
-	f.updateCells()
-	heard := len(f.peers) + 1
-	unheard := max(0, len(f.cells.peers)+1-heard)
+	heard, unheard := f.heardProcesses()
 	age := time.Duration(unheard) * unheardHorizon
 	for _, p := range f.peers {
 		if since := now.Sub(p.receivedAt); since > lostMessageAge {
@@ -65,6 +66,20 @@
 	return f.arrivals.perSecond(now) / float64(heard) * age.Seconds()
 }
 
+// heardProcesses returns how many processes of the cell are heard, this one included, and
+// how many listed ones are not.
+func (f *Fleet) heardProcesses() (heard, unheard int) {
+	f.updateCells()
+	heard = len(f.peers) + 1
+	return heard, max(0, len(f.cells.peers)+1-heard)
+}
+
+// unheardShare returns the share of the cell's processes that are not heard.
+func (f *Fleet) unheardShare() float64 {
+	heard, unheard := f.heardProcesses()
+	return float64(unheard) / float64(heard+unheard)
+}
+
 // pickShort returns the index of one of n engines for a short prompt, of which two are
 // drawn and the one with fewer requests is taken. All processes see nearly the same
 // engines in the same order, so without the draw they would choose the same one.
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
@@ -24,6 +25,10 @@
 // engines send no message when they finish a prefill.
 const scheduleInterval = 10 * time.Millisecond
 
+// minFreedMS is the prefill time that must end on engines for a waiting long prompt to
+// be tried again in turn. The prefill of a short prompt makes no room for it.
+const minFreedMS = 50.0
+
 // assumedPrefillEngines is the number of engines that the prefill of a long prompt
 // is assumed to be divided among when its position in the queue is computed.
 const assumedPrefillEngines = 10
@@ -78,6 +83,10 @@
 	waiting      []*pendingRequest
 	retryBudgets *retryBudgets
 	usage        workspaceUsage
+	turns        *pwturn.Order
+	// freedMS is the fleet's FreedPrefillMS when turns last recorded that engines became
+	// free.
+	freedMS float64
 	// loggedCell is the cell that was last logged.
 	loggedCell pwcell.Cell
 }
@@ -95,6 +104,7 @@
 		usage: workspaceUsage{
 			byWorkspace: make(map[string]decayingSum),
 		},
+		turns: pwturn.New(d.Instance),
 	}
 }
 
@@ -171,7 +181,7 @@
 	p.short = d.fleet.IsShort(p.req)
 	p.prefillMS = d.fleet.PrefillMS(p.req)
 	p.latestPrefillStart = p.firstTokenDeadline.Add(-time.Duration(p.prefillMS / assumedPrefillEngines * float64(time.Millisecond)))
-	if p.short || len(d.waiting) == 0 {
+	if p.short || d.isFirst(now, p) {
 		if placed := d.tryPlace(now, p); placed.err == nil || !d.mayWait(now, p, placed.err) {
 			d.mu.Unlock()
 			d.notifyIfAssigned(placed)
@@ -186,6 +196,9 @@
 	d.schedule(now)
 	d.mu.Unlock()
 	d.wakeRun()
+	if !p.short {
+		d.onLoadChange()
+	}
 	d.obs.LogRoutineEvent("queued", log.Fields{
 		"request": p.id,
 		"tokens":  p.req.PromptTokens,
@@ -212,6 +225,16 @@
 	return pwfleet.Plan{}, nil, pwverdict.Wrap(context.Cause(ctx), pwverdict.NotRun, pwverdict.CauseDeadlineExceeded, "waiting for an engine")
 }
 
+// isFirst reports whether no other request of this process waits, and no long prompt of
+// another process that comes before p.
+func (d *dispatcher) isFirst(now time.Time, p *pendingRequest) bool {
+	if len(d.waiting) > 0 {
+		return false
+	}
+	n, _ := d.turns.Ahead(now, p.rank(now))
+	return n == 0
+}
+
 // enqueue adds a request to the queue. It refuses the request when the queue is full
 // or when the estimated wait exceeds the time until the caller leaves.
 func (d *dispatcher) enqueue(now time.Time, p *pendingRequest) error {
@@ -232,13 +255,15 @@
 }
 
 // estimateWait estimates how long the work ahead of a request and its own prefill
-// take. Peers are assumed to have as much work queued as this process.
+// take: the prefill in flight, that of requests of this process, and that of peers whose
+// first prompt comes before it.
 func (d *dispatcher) estimateWait(now time.Time, p *pendingRequest) time.Duration {
 	perEngine, engines := d.fleet.Backlog(now, p.req.Service)
-	queued := p.prefillMS
+	_, queued := d.turns.Ahead(now, p.rank(now))
+	queued += p.prefillMS
 	for _, other := range d.waiting {
 		if other.req.Service == p.req.Service && compareQueueOrder(other, p, now) < 0 {
-			queued += other.prefillMS * float64(d.fleet.ProcessCount())
+			queued += other.prefillMS
 		}
 	}
 	return time.Duration((perEngine + queued/float64(max(1, engines))) * float64(time.Millisecond))
@@ -304,8 +329,13 @@
 	return p.latestPrefillStart.Add(p.penalty)
 }
 
-// schedule places the queued requests that servers have capacity for.
+// schedule places the queued requests that servers have capacity for: all short ones, and
+// one long prompt when it is the turn of this process.
 func (d *dispatcher) schedule(now time.Time) {
+	if freed := d.fleet.FreedPrefillMS(); freed-d.freedMS >= minFreedMS {
+		d.freedMS = freed
+		d.turns.RecordFreed(now)
+	}
 	if len(d.waiting) == 0 {
 		return
 	}
@@ -314,8 +344,19 @@
 	}
 	slices.SortStableFunc(d.waiting, func(a, b *pendingRequest) int { return compareQueueOrder(a, b, now) })
 	stillWaiting := d.waiting[:0]
+	ownTurn, decided := false, false
 	for _, p := range d.waiting {
+		if !p.short && !decided {
+			ownTurn, decided = d.turns.Take(now, p.rank(now)), true
+		}
+		if !p.short && !ownTurn && now.Before(p.capacityWaitUntil) {
+			stillWaiting = append(stillWaiting, p)
+			continue
+		}
 		placed := d.tryPlace(now, p)
+		if !p.short && placed.err == nil {
+			ownTurn = false
+		}
 		if placed.err != nil && d.mayWait(now, p, placed.err) {
 			p.blockedBy = placed.err
 			stillWaiting = append(stillWaiting, p)
--- a/internal/node/pwgateway/peers.go
+++ b/internal/node/pwgateway/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 )
 
@@ -22,6 +23,9 @@
 // OwnLoads implements pwpeering.View.
 func (g *Gateway) OwnLoads() []pwfleet.ServerLoad { return g.dispatcher.ownLoads() }
 
+// OwnQueue implements pwpeering.View.
+func (g *Gateway) OwnQueue() pwturn.Report { return g.dispatcher.ownQueue() }
+
 // OwnBudgets implements pwpeering.View.
 func (g *Gateway) OwnBudgets() []pwpeering.BudgetUsage { return g.dispatcher.ownBudgets() }
 
@@ -76,6 +80,7 @@
 	} else {
 		d.fleet.UpdatePeerLoads(now, name, m.Loads)
 	}
+	d.turns.Merge(now, name, m.Queue)
 	if len(m.Budgets) > 0 {
 		d.retryBudgets.mergePeer(now, name, m.Budgets)
 	}
--- a/internal/node/pwpeering/message.go
+++ b/internal/node/pwpeering/message.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/binary"
 	"math"
+	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 )
 
 // Sizes and bounds of a message. With the largest number of each kind of record it
@@ -14,7 +16,7 @@
 	// messageMagic is the first field of every message. It names the version of the
 	// format; messages of other versions are dropped.
 	messageMagic = uint32(0x70776c33)
-	headerBytes  = 4 + 8 + 8 + 1 + 2 + 2 + 1 + 1 + 1
+	headerBytes  = 4 + 8 + 8 + 1 + 2 + 2 + 2 + 2 + 1 + 1 + 1
 	loadBytes    = 8 + 2 + 1 + 1 + 1 + 2
 	crashBytes   = 8 + 8 + 4
 	budgetBytes  = 8 + 4 + 4
@@ -24,13 +26,19 @@
 	maxBudgets = 8
 	// maxMessageBytes is the size of the largest message.
 	maxMessageBytes = headerBytes + maxLoads*loadBytes + maxCrashes*crashBytes + maxBudgets*budgetBytes
-	// prefillUnitMS and memoryUnitTokens are the units of a load record.
+	// prefillUnitMS and memoryUnitTokens are the units of a load record, queueUnitMS that
+	// of the prefill of queued requests.
 	prefillUnitMS    = 0.25
 	memoryUnitTokens = 1024
+	queueUnitMS      = 16
 )
 
-// flagFull marks a message whose loads replace all earlier ones of its sender.
-const flagFull = 1
+const (
+	// flagFull marks a message whose loads replace all earlier ones of its sender.
+	flagFull = 1
+	// flagWaiting marks a message whose sender has long prompts in its queue.
+	flagWaiting = 2
+)
 
 // Crash is a crash of a backend server while it processed a request.
 type Crash struct {
@@ -58,6 +66,8 @@
 	Full    bool
 	Loads   []pwfleet.ServerLoad
 	Crashes []Crash
+	// Queue replaces what the sender last reported about its queue.
+	Queue pwturn.Report
 	// Budgets replaces the budget usage of the sender, unless it is empty.
 	Budgets []BudgetUsage
 }
@@ -82,17 +92,22 @@
 	if m.Full {
 		flags |= flagFull
 	}
+	if m.Queue.Waiting {
+		flags |= flagWaiting
+	}
 	b = append(b, flags)
 	b = le.AppendUint16(b, uint16(e.cell.Index))
 	b = le.AppendUint16(b, uint16(e.cell.Count))
+	b = le.AppendUint16(b, clampUint16(float64(m.Queue.Rank.Milliseconds())))
+	b = le.AppendUint16(b, clampUint16(m.Queue.PrefillMS/queueUnitMS))
 	b = append(b, byte(len(m.Loads)), byte(len(m.Crashes)), byte(len(m.Budgets)))
 	for _, l := range m.Loads {
 		b = le.AppendUint64(b, l.Server)
-		b = le.AppendUint16(b, uint16(min(math.MaxUint16, math.Round(max(0, l.PrefillMS)/prefillUnitMS))))
+		b = le.AppendUint16(b, clampUint16(math.Round(l.PrefillMS/prefillUnitMS)))
 		b = append(b, clampByte(l.TightStreams), clampByte(l.MediumStreams), clampByte(l.Requests))
 		// Rounding up keeps the record of a small load from being zero, which would
 		// remove it.
-		b = le.AppendUint16(b, uint16(min(math.MaxUint16, (max(0, l.MemoryTokens)+memoryUnitTokens-1)/memoryUnitTokens)))
+		b = le.AppendUint16(b, clampUint16(math.Ceil(float64(l.MemoryTokens)/memoryUnitTokens)))
 	}
 	for _, c := range m.Crashes {
 		b = le.AppendUint64(b, c.Fingerprint)
@@ -109,6 +124,8 @@
 
 func clampByte(n int) byte { return byte(max(0, min(math.MaxUint8, n))) }
 
+func clampUint16(x float64) uint16 { return uint16(max(0, min(math.MaxUint16, x))) }
+
 // parseMessage decodes a message. It returns errMalformedMessage for one that is
 // truncated, has surplus bytes, or is of another version.
 func parseMessage(raw []byte) (envelope, Message, error) {
@@ -126,8 +143,13 @@
 	}
 	m := Message{
 		Full: raw[20]&flagFull != 0,
+		Queue: pwturn.Report{
+			Waiting:   raw[20]&flagWaiting != 0,
+			Rank:      time.Duration(le.Uint16(raw[25:])) * time.Millisecond,
+			PrefillMS: float64(le.Uint16(raw[27:])) * queueUnitMS,
+		},
 	}
-	loads, crashes, budgets := int(raw[25]), int(raw[26]), int(raw[27])
+	loads, crashes, budgets := int(raw[29]), int(raw[30]), int(raw[31])
 	if loads > maxLoads || crashes > maxCrashes || budgets > maxBudgets || !e.cell.IsValid() ||
 		len(raw) != headerBytes+loads*loadBytes+crashes*crashBytes+budgets*budgetBytes {
 		return envelope{}, Message{}, errMalformedMessage
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -26,6 +26,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 )
 
@@ -52,6 +53,8 @@
 	Cell() (own pwcell.Cell, peers map[string]bool)
 	// OwnLoads returns the load that this process has in flight on each server.
 	OwnLoads() []pwfleet.ServerLoad
+	// OwnQueue returns the state of this process's queue.
+	OwnQueue() pwturn.Report
 	// OwnBudgets returns this process's recent use of each service's retry budget.
 	OwnBudgets() []BudgetUsage
 	// OwnCrashes returns the crashes to report to peers.
@@ -102,11 +105,13 @@
 	loadChanged chan struct{}
 	incarnation uint64
 
-	// sequence, sentLoads and fullSentAt belong to loopSend. sentLoads holds the loads
-	// that the last messages stated.
-	sequence   uint64
-	sentLoads  map[uint64]pwfleet.Load
-	fullSentAt time.Time
+	// sequence, sentLoads, fullSentAt and sentWaiting belong to loopSend. sentLoads holds
+	// the loads that the last messages stated, sentWaiting whether they stated that long
+	// prompts wait.
+	sequence    uint64
+	sentLoads   map[uint64]pwfleet.Load
+	fullSentAt  time.Time
+	sentWaiting bool
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
@@ -241,7 +246,8 @@
 	cell, listed := x.view.Cell()
 	inCell, others, needsFull := x.recipients(cell, listed, heartbeat)
 	m := Message{
-		Full: needsFull || time.Since(x.fullSentAt) >= fullInterval,
+		Full:  needsFull || time.Since(x.fullSentAt) >= fullInterval,
+		Queue: x.view.OwnQueue(),
 	}
 	if m.Full {
 		x.fullSentAt = time.Now()
@@ -252,11 +258,12 @@
 		m.Crashes = firstN(x.view.OwnCrashes(), maxCrashes)
 		m.Budgets = firstN(x.view.OwnBudgets(), maxBudgets)
 	}
-	if len(changed) == 0 && !m.Full && !heartbeat {
+	if len(changed) == 0 && m.Queue.Waiting == x.sentWaiting && !m.Full && !heartbeat {
 		return nil
 	}
+	x.sentWaiting = m.Queue.Waiting
 	var out []datagram
-	crashes := m.Crashes
+	crashes, queue := m.Crashes, m.Queue
 	for {
 		m.Loads = firstN(changed, maxLoads)
 		changed = changed[len(m.Loads):]
@@ -264,7 +271,9 @@
 		if len(changed) == 0 {
 			break
 		}
-		m = Message{}
+		m = Message{
+			Queue: queue,
+		}
 	}
 	if len(crashes) > 0 && len(others) > 0 {
 		out = append(out, x.newDatagram(cell, Message{
--- a/internal/node/pwpeering/peering_test.go
+++ b/internal/node/pwpeering/peering_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 )
 
@@ -20,6 +21,7 @@
 	loads      []pwfleet.ServerLoad
 	crashes    []Crash
 	budgets    []BudgetUsage
+	queue      pwturn.Report
 	merged     map[string]Message
 	mergeCount int
 }
@@ -34,6 +36,7 @@
 
 func (v *fakeView) Cell() (pwcell.Cell, map[string]bool) { return v.cell, v.peers }
 func (v *fakeView) OwnLoads() []pwfleet.ServerLoad       { return slices.Clone(v.loads) }
+func (v *fakeView) OwnQueue() pwturn.Report              { return v.queue }
 func (v *fakeView) OwnBudgets() []BudgetUsage            { return v.budgets }
 func (v *fakeView) OwnCrashes() []Crash                  { return v.crashes }
 func (v *fakeView) MergePeer(peer string, msg Message) {
@@ -124,9 +127,14 @@
 		Requests: 40,
 		Retries:  2,
 	}}
+	v.queue = pwturn.Report{
+		Waiting:   true,
+		Rank:      1300 * time.Millisecond,
+		PrefillMS: 3200,
+	}
 	send(t, nodes[0], true, nodes[1])
 	got := nodes[1].view.merged["front-1"]
-	if !got.Full || !slices.Equal(got.Loads, v.loads) || !slices.Equal(got.Crashes, v.crashes) || !slices.Equal(got.Budgets, v.budgets) {
+	if !got.Full || got.Queue != v.queue || !slices.Equal(got.Loads, v.loads) || !slices.Equal(got.Crashes, v.crashes) || !slices.Equal(got.Budgets, v.budgets) {
 		t.Errorf("message is %+v, want all loads %+v, crashes %+v and budgets %+v", got, v.loads, v.crashes, v.budgets)
 	}
 	if nodes[1].ActivePeers() != 1 {
@@ -159,6 +167,10 @@
 		if size := send(t, a, false, b); size != 0 {
 			t.Errorf("%d bytes are sent without a change", size)
 		}
+		a.view.queue.Waiting = true
+		if size := send(t, a, false, b); size != MessageBytes(0) || !b.view.merged["front-1"].Queue.Waiting {
+			t.Errorf("%d bytes are sent when the first prompt has to wait, want %d", size, MessageBytes(0))
+		}
 		if size := send(t, a, true, b); size != MessageBytes(0) {
 			t.Errorf("a heartbeat has %d bytes, want %d", size, MessageBytes(0))
 		}
