Count only new requests of peers as arrivals

Cause: a message that repeats all loads of a peer counted all of its requests as new ones, so that the window of engines for short prompts was several times too wide. While long prompts came at 2.9 times their rate, half of the engines of a cell had some short answers and read little of the long prompts: 60 to 76 engine-seconds a second on 168 engines.

Change: a full message is compared with what is known of its sender. The engine is drawn among as many as there are unseen requests.

TestFewShortPromptsStayOnFewEngines: 138 engines before, 36 after, for 180 short prompts.

--- a/internal/core/pwfleet/cells_test.go
+++ b/internal/core/pwfleet/cells_test.go
@@ -153,6 +153,8 @@
 // engine, and those that it rejected.
 type shortResult struct {
 	sent, queued, rejected int
+	// meanEngines is the mean number of engines with short prompts before the swing.
+	meanEngines float64
 }
 
 func (r shortResult) queuedShare() float64   { return float64(r.queued) / float64(r.sent) }
@@ -164,23 +166,28 @@
 // the platform.
 func simulateShortPrompts(interval time.Duration, before, after float64) shortResult {
 	const engines, perSecond, engineQueue = 195, 276.0, 20
-	const answer, step = 1700 * time.Millisecond, 10 * time.Millisecond
+	const firstToken, answer, step = 160 * time.Millisecond, 1700 * time.Millisecond, 10 * time.Millisecond
 	rnd := rand.New(rand.NewPCG(3, 3))
 	fleets := newLargeFleets(68, engines, rnd)
 	type running struct {
 		a      *Assignment
 		engine string
+		first  time.Time
 		until  time.Time
 	}
 	var live []running
 	load := make(map[string]int)
 	var r shortResult
+	samples := 0
 	for tick := range 800 {
 		now := start.Add(time.Duration(tick) * step)
 		for _, f := range fleets {
 			f.ExpirePeers(now)
 		}
 		live = slices.DeleteFunc(live, func(l running) bool {
+			if !now.Before(l.first) {
+				l.a.EndPrefill()
+			}
 			if now.Before(l.until) {
 				return false
 			}
@@ -194,6 +201,11 @@
 		rate := perSecond * before
 		if tick >= 300 {
 			rate = perSecond * after
+		} else if tick >= 200 {
+			samples++
+			for _, n := range load {
+				r.meanEngines += float64(min(n, 1))
+			}
 		}
 		for n := rate*step.Seconds() + rnd.Float64(); n >= 1; n-- {
 			f := fleets[rnd.IntN(len(fleets))]
@@ -215,10 +227,12 @@
 			live = append(live, running{
 				a:      f.Start(now, p),
 				engine: p.Server.ID,
+				first:  now.Add(firstToken),
 				until:  now.Add(answer/2 + time.Duration(rnd.Float64()*float64(answer))),
 			})
 		}
 	}
+	r.meanEngines /= float64(samples)
 	return r
 }
 
@@ -245,6 +259,19 @@
 	}
 }
 
+// While long prompts take most of the fleet, the few short ones must stay on few engines:
+// each engine with short answers reads little of the long prompts. Counting the loads of
+// a message that repeats all of them as new requests spread 180 short prompts over 138
+// engines.
+func TestFewShortPromptsStayOnFewEngines(t *testing.T) {
+	r := simulateShortPrompts(40*time.Millisecond, 0.4, 0.4)
+	perEngine := 276 * 0.4 * 1.7 / r.meanEngines
+	t.Logf("%.0f engines with short prompts, %.1f prompts on each", r.meanEngines, perEngine)
+	if least := DefaultShortFill * float64(largeEngine.Slots) / 2; perEngine < least {
+		t.Errorf("%.1f short prompts on each engine in use, want at least half of the %.1f that fit", perEngine, 2*least)
+	}
+}
+
 // At the usual rate, engines must not reject the short prompts of processes that hear
 // each other every 4 s only.
 func TestUsualShortPromptsWithoutFreshLoads(t *testing.T) {
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -379,8 +379,21 @@
 
 // SetPeerLoads replaces the loads that a peer has in flight.
 func (f *Fleet) SetPeerLoads(now time.Time, name string, loads []ServerLoad) {
-	f.removePeer(name)
-	f.UpdatePeerLoads(now, name, loads)
+	changed := slices.Clone(loads)
+	if p := f.peers[name]; p != nil {
+		listed := make(map[uint64]bool, len(loads))
+		for _, l := range loads {
+			listed[l.Server] = true
+		}
+		for server := range p.loads {
+			if !listed[server] {
+				changed = append(changed, ServerLoad{
+					Server: server,
+				})
+			}
+		}
+	}
+	f.UpdatePeerLoads(now, name, changed)
 }
 
 // UpdatePeerLoads replaces the loads that a peer has in flight on some servers. A zero
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -226,8 +226,9 @@
 	prefillMS := m.PrefillMS(r.PromptTokens)
 	slots := max(1, m.Engine().Slots)
 	maxRequests := max(1, int(f.cfg.ShortFill*float64(slots)))
-	// The requests that other processes have just sent, in the same order, are spread.
-	window := min(len(cands), 1+int(math.Ceil(windowPerUnseen*f.unseenRequests(now))))
+	// The draw spreads the requests that other processes have just sent, in the same
+	// order, over as many engines.
+	window := min(len(cands), 1+int(math.Ceil(f.unseenRequests(now))))
 	fitting := make([]*server, 0, window)
 	var best *server
 	bestIterationMS := math.Inf(1)
@@ -239,7 +240,7 @@
 		iterationMS := m.IterationMS(l.Requests+1, l.MemoryTokens+r.PromptTokens, l.PrefillMS+prefillMS)
 		if iterationMS <= f.cfg.ShortIterationMS && l.Requests < maxRequests && s.failureScore < 1 {
 			if fitting = append(fitting, s); len(fitting) >= window {
-				return f.newShortPlan(r, f.pickShort(fitting), prefillMS, "packed"), nil
+				return f.newShortPlan(r, fitting[f.randIntN(len(fitting))], prefillMS, "packed"), nil
 			}
 			continue
 		}
@@ -248,7 +249,7 @@
 		}
 	}
 	if len(fitting) > 0 {
-		return f.newShortPlan(r, f.pickShort(fitting), prefillMS, "packed"), nil
+		return f.newShortPlan(r, fitting[f.randIntN(len(fitting))], prefillMS, "packed"), nil
 	}
 	if best == nil {
 		if !r.Urgent {
--- a/internal/core/pwfleet/unseen.go
+++ b/internal/core/pwfleet/unseen.go
@@ -15,9 +15,6 @@
 	// lostMessageAge is the age of a peer's last message from which messages count as
 	// lost: a process that is heard sends one at least every 200 ms.
 	lostMessageAge = 300 * time.Millisecond
-	// windowPerUnseen is the number of engines that are considered for each unseen
-	// request, so that few engines get several of them.
-	windowPerUnseen = 2
 	// minShuffleShare is the share of unheard processes from which engines for long
 	// prompts are drawn.
 	minShuffleShare = 0.1
@@ -79,14 +76,3 @@
 	heard, unheard := f.heardProcesses()
 	return float64(unheard) / float64(heard+unheard)
 }
-
-// pickShort returns the index of one of n engines for a short prompt, of which two are
-// drawn and the one with fewer requests is taken. All processes see nearly the same
-// engines in the same order, so without the draw they would choose the same one.
-func (f *Fleet) pickShort(engines []*server) *server {
-	a, b := engines[f.randIntN(len(engines))], engines[f.randIntN(len(engines))]
-	if b.load().Requests < a.load().Requests {
-		return b
-	}
-	return a
-}
