Keep long prompts in the queue instead of at busy engines

Cause: engines without answers took up to 700 ms of prefill, and 1,500 ms of very long prompts.

Change: the bounds are 500 ms and 1,000 ms, so that the prefill of long prompts is decided later. A prompt whose parts exceed the first bound on all engines of a small fleet, or the second one on engines without any work, is placed at once; it would otherwise wait in vain.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -45,10 +45,10 @@
 	DefaultPartPrefillMS = 140.0
 	// DefaultMaxPrefillMS bounds the outstanding prefill of an engine, so that the
 	// next prompt can still have its first token in time.
-	DefaultMaxPrefillMS = 700.0
+	DefaultMaxPrefillMS = 500.0
 	// DefaultMaxHeavyPrefillMS is the larger bound that holds for very long prompts
 	// on engines that decode nothing.
-	DefaultMaxHeavyPrefillMS = 1500.0
+	DefaultMaxHeavyPrefillMS = 1000.0
 	// DefaultTightGap, DefaultMediumGap and DefaultLooseGap are the longest gaps
 	// between events that three kinds of streams allow: those of the platform's
 	// short, medium and long requests.
--- a/internal/core/pwfleet/fleet_test.go
+++ b/internal/core/pwfleet/fleet_test.go
@@ -185,6 +185,18 @@
 
 // During a burst of short prompts, a late prompt must not use engines with short
 // answers.
+// A small fleet must not refuse a prompt because its parts are longer than those that a
+// larger one would use.
+func TestLongPromptFitsUnusedFleetOfAnySize(t *testing.T) {
+	for engines := 1; engines <= 20; engines++ {
+		for _, tokens := range []int64{60_000, 133_000, 200_000} {
+			if p := mustPlan(t, newTestFleet(engines), long(tokens)); len(p.Helpers) >= engines {
+				t.Errorf("%d helpers of %d engines", len(p.Helpers), engines)
+			}
+		}
+	}
+}
+
 func TestLatePromptsAvoidEnginesWithShortAnswers(t *testing.T) {
 	f := newTestFleet(4)
 	for range 64 {
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -429,7 +429,8 @@
 
 // chooseEngines returns the engines that share the prefill of a prompt, or none if the
 // prompt has to wait. It tries the number of engines that results in parts of
-// Config.PartPrefillMS first, then more engines, then fewer.
+// Config.PartPrefillMS first, then more engines, then fewer. Parts may exceed
+// Config.MaxPrefillMS if the prompt is very long for the available engines.
 func (f *Fleet) chooseEngines(r Request, totalMS float64, available []candidate) (chosen []candidate, reason string) {
 	if r.Late {
 		available = available[:countBelowTier(available, tierTight)]
@@ -449,7 +450,10 @@
 			return chosen, "fewer_engines"
 		}
 	}
-	if chosen = f.chooseHeavy(totalMS, available); chosen != nil && totalMS > f.cfg.PartPrefillMS*float64(f.cfg.MaxParts) {
+	if totalMS <= min(f.cfg.PartPrefillMS*float64(f.cfg.MaxParts), f.cfg.MaxPrefillMS*float64(maxParts)) {
+		return nil, ""
+	}
+	if chosen = f.chooseHeavy(totalMS, available); chosen != nil {
 		return chosen, "heavy"
 	}
 	return nil, ""
@@ -478,9 +482,24 @@
 			}
 		}
 	}
+	// Waiting makes no room for a prompt that is too long even for engines without any
+	// work.
+	if n := min(len(available), f.cfg.MaxParts); countUnused(available) >= n {
+		return available[:n]
+	}
 	return nil
 }
 
+// countUnused returns the number of candidates at the start of the list that neither
+// decode nor prefill.
+func countUnused(sorted []candidate) int {
+	n := 0
+	for n < len(sorted) && sorted[n].tier == tierIdle && sorted[n].load.PrefillMS == 0 {
+		n++
+	}
+	return n
+}
+
 // countBelowTier returns the number of candidates in tiers below tier. The candidates
 // are sorted by tier.
 func countBelowTier(sorted []candidate, tier int) int {
