Let a backend server of the soak send without an end

A fault replaces the responses of one server by a head without an end; a connection that takes more than 16 MB of it is a violation.

--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -159,7 +160,7 @@
 }
 
 // proxy relays connections from the entries to one backend server, and can delay,
-// stall or reset them.
+// stall or reset them, or replace responses.
 type proxy struct {
 	lis    net.Listener
 	target string
@@ -168,7 +169,11 @@
 	conns   map[net.Conn]bool
 	delay   time.Duration
 	stalled bool
-	closed  bool
+	// endless replaces responses by a head without an end. mostEndless is the largest
+	// number of bytes that one connection took of it.
+	endless     bool
+	mostEndless int64
+	closed      bool
 }
 
 // listen listens on a free loopback port.
@@ -213,13 +218,13 @@
 	p.conns[clientConn], p.conns[serverConn] = true, true
 	p.mu.Unlock()
 	done := make(chan struct{}, 2)
-	go p.relayBytes(serverConn, clientConn, done)
-	go p.relayBytes(clientConn, serverConn, done)
+	go p.relayBytes(serverConn, clientConn, false, done)
+	go p.relayBytes(clientConn, serverConn, true, done)
 	<-done
 	p.closeConns(clientConn, serverConn)
 }
 
-func (p *proxy) relayBytes(to, from net.Conn, done chan<- struct{}) {
+func (p *proxy) relayBytes(to, from net.Conn, responses bool, done chan<- struct{}) {
 	defer func() { done <- struct{}{} }()
 	buf := make([]byte, 16<<10)
 	for {
@@ -231,6 +236,10 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 		time.Sleep(p.currentDelay())
+		if responses && p.isEndless() {
+			p.writeEndless(to)
+			return
+		}
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
@@ -249,6 +258,44 @@
 	return p.delay
 }
 
+func (p *proxy) isEndless() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endless && !p.closed
+}
+
+func (p *proxy) setEndless(endless bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endless = endless
+}
+
+// writeEndless writes a head without an end until the connection is closed.
+func (p *proxy) writeEndless(to net.Conn) {
+	next := "HTTP/1.1 200 OK\r\n"
+	filler := strings.Repeat("X-Filler: 0123456789abcdef\r\n", 512)
+	var total int64
+	for {
+		n, err := io.WriteString(to, next)
+		total += int64(n)
+		p.mu.Lock()
+		p.mostEndless = max(p.mostEndless, total)
+		p.mu.Unlock()
+		if err != nil {
+			return
+		}
+		next = filler
+	}
+}
+
+// takenEndless returns the largest number of bytes that one connection took of a head
+// without an end.
+func (p *proxy) takenEndless() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mostEndless
+}
+
 func (p *proxy) setFault(delay time.Duration, stalled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -330,7 +330,7 @@
 	e := s.entries[s.rng.IntN(len(s.entries))]
 	i := s.rng.IntN(modelServers + deskServers)
 	pause := time.Duration(300+s.rng.IntN(1500)) * time.Millisecond
-	switch s.rng.IntN(17) {
+	switch s.rng.IntN(18) {
 	case 0:
 		return fmt.Sprintf("kill entry %d", e.index), func(ctx context.Context) { s.restartEntry(ctx, e, syscall.SIGKILL) }
 	case 1:
@@ -367,6 +367,8 @@
 			s.store.PutInvalidRow("servers", "i-foreign")
 			s.store.PutInvalidRow("pomeloweir-instances", "foreign")
 		}
+	case 17:
+		return fmt.Sprintf("server %d sends without an end for %s", i, pause), func(ctx context.Context) { s.sendWithoutEnd(ctx, s.server(i), pause) }
 	case 16:
 		return "configuration unreadable for " + pause.String(), func(ctx context.Context) { s.corruptConfiguration(ctx, pause) }
 	case 9:
@@ -385,6 +387,20 @@
 	}
 }
 
+// maxEndlessBytes bounds what an entry may take of a response head without an end,
+// together with the buffers of a loopback connection.
+const maxEndlessBytes = 16 << 20
+
+// sendWithoutEnd makes a backend server answer with a head without an end.
+func (s *soak) sendWithoutEnd(ctx context.Context, b *backend, pause time.Duration) {
+	b.proxy.setEndless(true)
+	sleep(ctx, pause)
+	b.proxy.setEndless(false)
+	if n := b.proxy.takenEndless(); n > maxEndlessBytes {
+		s.recordViolation("%d bytes of a response head without an end were taken from %s, allowed are %d", n, b.id, maxEndlessBytes)
+	}
+}
+
 func (s *soak) server(i int) *backend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
