--- a/internal/node/pwgateway/endless_test.go
+++ b/internal/node/pwgateway/endless_test.go
@@ -1,34 +1,15 @@
 package pwgateway_test
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
-)
-
-// endlessReply sends start and then repeat, without end, until its connection is closed.
-type endlessReply struct {
-	start, repeat string
-	taken         atomic.Int64
-	closed        atomic.Bool
-}
 
-func (e *endlessReply) reply(c net.Conn, r *http.Request) {
-	defer e.closed.Store(true)
-	next := strings.ReplaceAll(e.start, "ID", r.Header.Get("X-Attempt-Id"))
-	for {
-		n, err := io.WriteString(c, next)
-		e.taken.Add(int64(n))
-		if err != nil {
-			return
-		}
-		next = e.repeat
-	}
-}
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeendless"
+)
 
 const (
 	signedHead     = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\nX-Response-Seal: seal\r\n"
@@ -86,9 +67,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				endless := &endlessReply{
-					start:  tc.start,
-					repeat: tc.repeat,
+				endless := &pwfakeendless.Server{
+					Start:  strings.ReplaceAll(tc.start, "ID", "a1"),
+					Repeat: tc.repeat,
 				}
 				service := "desk"
 				if strings.HasPrefix(tc.path, "/note/") {
@@ -98,7 +79,7 @@
 				var answered atomic.Bool
 				reply := func(c net.Conn, r *http.Request) {
 					if answered.CompareAndSwap(false, true) {
-						endless.reply(c, r)
+						endless.Reply(c)
 						return
 					}
 					tc.other(c, r)
@@ -113,10 +94,10 @@
 					t.Fatalf("body %q, want %q", w.Body, tc.body)
 				}
 				synctest.Wait()
-				if got := endless.taken.Load(); got == 0 || got > tc.maxTaken {
+				if got := endless.Taken(); got == 0 || got > tc.maxTaken {
 					t.Errorf("%d bytes were read, want some and at most %d", got, tc.maxTaken)
 				}
-				if !endless.closed.Load() {
+				if !endless.Closed() {
 					t.Error("the connection is still open")
 				}
 			})
--- a/internal/node/pwupstream/endless_test.go
+++ b/internal/node/pwupstream/endless_test.go
@@ -2,61 +2,25 @@
 
 import (
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeendless"
 )
 
 // maxTakenBytes bounds what may be read of a response without an end: the bound on its
 // head or on its discarded body, and the buffers on the way.
 const maxTakenBytes = 64 << 10
 
-// endlessServer answers each request with start and then with repeat, without end, until
-// its connection is closed. It counts the bytes that were taken from it.
-type endlessServer struct {
-	start, repeat string
-	// pause is the time before each repetition.
-	pause  time.Duration
-	taken  atomic.Int64
-	closed atomic.Bool
-}
-
-func (s *endlessServer) dial(context.Context, string, string) (net.Conn, error) {
-	clientEnd, serverEnd := net.Pipe()
-	go s.loopWrite(serverEnd)
-	return clientEnd, nil
-}
-
-func (s *endlessServer) loopWrite(c net.Conn) {
-	defer s.closed.Store(true)
-	buf := make([]byte, 4<<10)
-	if _, err := c.Read(buf); err != nil {
-		return
-	}
-	next := s.start
-	for {
-		n, err := io.WriteString(c, next)
-		s.taken.Add(int64(n))
-		if err != nil {
-			return
-		}
-		next = s.repeat
-		time.Sleep(s.pause)
-	}
-}
-
 // requestEndless sends one request and, if a response arrives, drains its body.
-func requestEndless(t *testing.T, s *endlessServer) error {
+func requestEndless(t *testing.T, s *pwfakeendless.Server) error {
 	t.Helper()
 	p := New(Config{
-		Dial: s.dial,
+		Dial: s.Dial,
 	})
 	defer p.Close()
 	c, err := p.Get(t.Context(), "s")
@@ -81,20 +45,20 @@
 // fill the memory of the process.
 func TestEndlessResponsesAreCutOff(t *testing.T) {
 	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-	for name, s := range map[string]*endlessServer{
-		"status line":             {start: "HTTP/1.1 200 ", repeat: strings.Repeat("x", 512)},
-		"bytes that are not HTTP": {start: "", repeat: strings.Repeat("x", 512)},
-		"header field":            {start: "HTTP/1.1 200 OK\r\nX-A: ", repeat: strings.Repeat("x", 512)},
-		"header fields":           {start: "HTTP/1.1 200 OK\r\n", repeat: "X-A: b\r\n"},
-		"informational responses": {start: "", repeat: "HTTP/1.1 100 Continue\r\n\r\n"},
-		"informational fields":    {start: "HTTP/1.1 103 Early Hints\r\n", repeat: "Link: </a>\r\n"},
-		"body without a length":   {start: "HTTP/1.1 200 OK\r\n\r\n", repeat: strings.Repeat("x", 512)},
-		"chunks":                  {start: chunked, repeat: "4\r\nabcd\r\n"},
-		"chunk size":              {start: chunked, repeat: strings.Repeat("0", 512)},
-		"chunk extension":         {start: chunked + "4;a=", repeat: strings.Repeat("x", 512)},
-		"chunk extensions":        {start: chunked, repeat: "1;a=" + strings.Repeat("x", 1024) + "\r\nb\r\n"},
-		"trailer":                 {start: chunked + "0\r\n", repeat: "X-A: b\r\n"},
-		"trailer field":           {start: chunked + "0\r\nX-A: ", repeat: strings.Repeat("x", 512)},
+	for name, s := range map[string]*pwfakeendless.Server{
+		"status line":             {Start: "HTTP/1.1 200 ", Repeat: strings.Repeat("x", 512)},
+		"bytes that are not HTTP": {Start: "", Repeat: strings.Repeat("x", 512)},
+		"header field":            {Start: "HTTP/1.1 200 OK\r\nX-A: ", Repeat: strings.Repeat("x", 512)},
+		"header fields":           {Start: "HTTP/1.1 200 OK\r\n", Repeat: "X-A: b\r\n"},
+		"informational responses": {Start: "", Repeat: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"informational fields":    {Start: "HTTP/1.1 103 Early Hints\r\n", Repeat: "Link: </a>\r\n"},
+		"body without a length":   {Start: "HTTP/1.1 200 OK\r\n\r\n", Repeat: strings.Repeat("x", 512)},
+		"chunks":                  {Start: chunked, Repeat: "4\r\nabcd\r\n"},
+		"chunk size":              {Start: chunked, Repeat: strings.Repeat("0", 512)},
+		"chunk extension":         {Start: chunked + "4;a=", Repeat: strings.Repeat("x", 512)},
+		"chunk extensions":        {Start: chunked, Repeat: "1;a=" + strings.Repeat("x", 1024) + "\r\nb\r\n"},
+		"trailer":                 {Start: chunked + "0\r\n", Repeat: "X-A: b\r\n"},
+		"trailer field":           {Start: chunked + "0\r\nX-A: ", Repeat: strings.Repeat("x", 512)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -107,10 +71,10 @@
 					t.Errorf("the verdict is %v, want may_have_run: %v", v, err)
 				}
 				synctest.Wait()
-				if got := s.taken.Load(); got > maxTakenBytes {
+				if got := s.Taken(); got > maxTakenBytes {
 					t.Errorf("%d bytes were read, want at most %d", got, maxTakenBytes)
 				}
-				if !s.closed.Load() {
+				if !s.Closed() {
 					t.Error("the connection is still open")
 				}
 				if d := time.Since(startedAt); d > drainTimeout {
@@ -124,18 +88,18 @@
 // A discarded body may also come slowly.
 func TestDrainIsBoundedInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &endlessServer{
-			start:  "HTTP/1.1 503 Full\r\n\r\n",
-			repeat: "x",
-			pause:  50 * time.Millisecond,
+		s := &pwfakeendless.Server{
+			Start:  "HTTP/1.1 503 Full\r\n\r\n",
+			Repeat: "x",
+			Pause:  50 * time.Millisecond,
 		}
 		startedAt := time.Now()
 		if err := requestEndless(t, s); err == nil || time.Since(startedAt) != drainTimeout {
 			t.Errorf("draining ended with %v after %s, want an error after %s", err, time.Since(startedAt), drainTimeout)
 		}
-		time.Sleep(s.pause)
+		time.Sleep(s.Pause)
 		synctest.Wait()
-		if !s.closed.Load() {
+		if !s.Closed() {
 			t.Error("the connection is still open")
 		}
 	})
