Keep processes that are heard although their rows are gone

Cause: the list of processes now decides who is a peer. A store whose clock has jumped makes all rows look expired; the processes would not hear each other until they renew their rows, 5 minutes later. Change: a process that is heard stays a peer, and a process whose own row is missing writes it again at the next reading. Result: both tests fail without the change.

--- a/internal/node/pwpeering/directory.go
+++ b/internal/node/pwpeering/directory.go
@@ -132,10 +132,12 @@
 		return err
 	}
 	current := make([]pwinstance.Instance, 0, len(snap.Items))
+	registered := false
 	for _, it := range snap.Items {
 		if it.Err != nil {
 			continue
 		}
+		registered = registered || it.Key == string(d.self.ID)
 		if !isExpired(snap.NowMS, it.Value) {
 			current = append(current, it.Value)
 			continue
@@ -150,7 +152,8 @@
 	if d.onList != nil {
 		d.onList(current)
 	}
-	if !d.registeredAt.IsZero() && time.Since(d.registeredAt) < renewInterval {
+	// Another process may have removed the row, if the store's clock has jumped.
+	if registered && !d.registeredAt.IsZero() && time.Since(d.registeredAt) < renewInterval {
 		return nil
 	}
 	d.self.LastSeenMS = snap.NowMS
--- a/internal/node/pwpeering/directory_test.go
+++ b/internal/node/pwpeering/directory_test.go
@@ -114,6 +114,11 @@
 		if got := slices.Sorted(maps.Keys(table.items)); !slices.Equal(got, []string{"alive", "self"}) {
 			t.Errorf("rows are %v, want alive and self: expired rows are removed, the own one is added", got)
 		}
+		delete(table.items, "self")
+		advance(readInterval + time.Second)
+		if _, ok := table.items["self"]; !ok {
+			t.Error("the own row was not written again after another process removed it")
+		}
 		written := table.items["self"].Value.LastSeenMS
 		advance(time.Hour)
 		if table.items["self"].Value.LastSeenMS <= written || len(table.items) != 1 {
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -147,7 +147,8 @@
 }
 
 // SetPeers replaces the list of the other processes. It ignores invalid addresses, this
-// process's own, and those beyond maxPeers.
+// process's own, and those beyond maxPeers. Processes that are heard stay, although their
+// rows may have expired or be unreadable.
 func (x *Exchange) SetPeers(list []Peer) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -165,6 +166,11 @@
 		}
 		peers[addr] = p
 	}
+	for addr, p := range x.peers {
+		if peers[addr] == nil && p.isActive() && len(peers) < maxPeers {
+			peers[addr] = p
+		}
+	}
 	x.peers = peers
 }
 
--- a/internal/node/pwpeering/peering_test.go
+++ b/internal/node/pwpeering/peering_test.go
@@ -274,6 +274,24 @@
 	}
 }
 
+// A list without a process that is heard may come from a store whose clock has jumped, so
+// that all rows look expired.
+func TestHeardProcessOutlivesItsRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(2)
+		send(t, nodes[1], true, nodes[0])
+		nodes[0].SetPeers(nil)
+		if n := nodes[0].ActivePeers(); n != 1 {
+			t.Errorf("%d active peers after an empty list, want 1", n)
+		}
+		time.Sleep(ActiveTimeout)
+		nodes[0].SetPeers(nil)
+		if n := len(nodes[0].peers); n != 0 {
+			t.Errorf("%d peers after %s without a message, want none", n, ActiveTimeout)
+		}
+	})
+}
+
 func TestInactivePeersGetOnlyHeartbeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nodes := newNodes(2)
