Draw among the engines with the shortest iterations

Change: the draw among as many engines as there are unseen requests takes those with the shortest iterations when too few are below the usual fill. The metrics name the cell.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -355,6 +355,10 @@
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		p.obs.SetGauge("log_lines_dropped", p.logWriter.DroppedLines())
 		p.obs.SetGauge("peers", int64(p.exchange.ActivePeers()))
+		cell, cellPeers := p.gateway.Cell()
+		p.obs.SetGauge("cell_index", int64(cell.Index))
+		p.obs.SetGauge("cell_count", int64(cell.Count))
+		p.obs.SetGauge("cell_peers", int64(len(cellPeers)))
 		if err := p.obs.WriteMetrics(w); err != nil {
 			p.obs.Count("metrics_write_errors", 1)
 		}
--- a/internal/core/pwfleet/cells_test.go
+++ b/internal/core/pwfleet/cells_test.go
@@ -153,6 +153,8 @@
 // engine, and those that it rejected.
 type shortResult struct {
 	sent, queued, rejected int
+	// crowded counts those that met crowdedPrefills others on their engine.
+	crowded int
 	// meanEngines is the mean number of engines with short prompts before the swing.
 	meanEngines float64
 }
@@ -160,12 +162,16 @@
 func (r shortResult) queuedShare() float64   { return float64(r.queued) / float64(r.sent) }
 func (r shortResult) rejectedShare() float64 { return float64(r.rejected) / float64(r.sent) }
 
+// crowdedPrefills is the number of other short prompts in prefill on an engine from which
+// the first token of a further one is late.
+const crowdedPrefills = 4
+
 // simulateShortPrompts plays short prompts on 68 processes that report their loads once
 // in every interval. The rate is the usual one times before, and from the third second
 // on times after. An engine queues 20 prompts beyond its slots and rejects others, as on
 // the platform.
-func simulateShortPrompts(interval time.Duration, before, after float64) shortResult {
-	const engines, perSecond, engineQueue = 195, 276.0, 20
+func simulateShortPrompts(engines int, interval time.Duration, before, after float64) shortResult {
+	const perSecond, engineQueue = 276.0, 20
 	const firstToken, answer, step = 160 * time.Millisecond, 1700 * time.Millisecond, 10 * time.Millisecond
 	rnd := rand.New(rand.NewPCG(3, 3))
 	fleets := newLargeFleets(68, engines, rnd)
@@ -223,6 +229,15 @@
 			case n >= largeEngine.Slots:
 				r.queued++
 			}
+			prefilling := 0
+			for _, l := range live {
+				if l.engine == p.Server.ID && now.Before(l.first) {
+					prefilling++
+				}
+			}
+			if prefilling >= crowdedPrefills {
+				r.crowded++
+			}
 			load[p.Server.ID]++
 			live = append(live, running{
 				a:      f.Start(now, p),
@@ -247,7 +262,7 @@
 	const maxQueuedShare = 0.02
 	for _, interval := range []time.Duration{40 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond, 4 * time.Second} {
 		t.Run(interval.String(), func(t *testing.T) {
-			r := simulateShortPrompts(interval, 0.4, 2.5)
+			r := simulateShortPrompts(195, interval, 0.4, 2.5)
 			t.Logf("%d sent, %.2f %% queued, %.2f %% rejected", r.sent, 100*r.queuedShare(), 100*r.rejectedShare())
 			if r.rejectedShare() > maxRejectedShare {
 				t.Errorf("%.2f %% were rejected, want at most %.0f %%", 100*r.rejectedShare(), 100*maxRejectedShare)
@@ -259,12 +274,24 @@
 	}
 }
 
+// With a zone lost, a burst of short prompts fills all engines beyond the usual share of
+// their slots. Processes must not send it to the same engine, the one with the shortest
+// iteration as all of them see it.
+func TestBurstBeyondTheUsualFillIsSpread(t *testing.T) {
+	const maxCrowdedShare = 0.02
+	r := simulateShortPrompts(156, 40*time.Millisecond, 1, 2.6)
+	t.Logf("%d sent, %d met %d or more others in prefill, %.2f %% queued", r.sent, r.crowded, crowdedPrefills, 100*r.queuedShare())
+	if share := float64(r.crowded) / float64(r.sent); share > maxCrowdedShare {
+		t.Errorf("%.2f %% met %d or more others in prefill, want at most %.0f %%", 100*share, crowdedPrefills, 100*maxCrowdedShare)
+	}
+}
+
 // While long prompts take most of the fleet, the few short ones must stay on few engines:
 // each engine with short answers reads little of the long prompts. Counting the loads of
 // a message that repeats all of them as new requests spread 180 short prompts over 138
 // engines.
 func TestFewShortPromptsStayOnFewEngines(t *testing.T) {
-	r := simulateShortPrompts(40*time.Millisecond, 0.4, 0.4)
+	r := simulateShortPrompts(195, 40*time.Millisecond, 0.4, 0.4)
 	perEngine := 276 * 0.4 * 1.7 / r.meanEngines
 	t.Logf("%.0f engines with short prompts, %.1f prompts on each", r.meanEngines, perEngine)
 	if least := DefaultShortFill * float64(largeEngine.Slots) / 2; perEngine < least {
@@ -275,7 +302,7 @@
 // At the usual rate, engines must not reject the short prompts of processes that hear
 // each other every 4 s only.
 func TestUsualShortPromptsWithoutFreshLoads(t *testing.T) {
-	r := simulateShortPrompts(4*time.Second, 1, 1)
+	r := simulateShortPrompts(195, 4*time.Second, 1, 1)
 	t.Logf("%d sent, %.2f %% queued, %.2f %% rejected", r.sent, 100*r.queuedShare(), 100*r.rejectedShare())
 	if r.rejectedShare() > maxRejectedShare {
 		t.Errorf("%.2f %% were rejected, want at most %.0f %%", 100*r.rejectedShare(), 100*maxRejectedShare)
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -221,7 +221,8 @@
 }
 
 // planShort packs short prompts onto the first engines in the order whose iterations
-// stay below Config.ShortIterationMS.
+// stay below Config.ShortIterationMS, and otherwise sends them to those with the shortest
+// iterations.
 func (f *Fleet) planShort(now time.Time, r Request, m pwcost.Model, cands []*server) (Plan, error) {
 	prefillMS := m.PrefillMS(r.PromptTokens)
 	slots := max(1, m.Engine().Slots)
@@ -229,35 +230,50 @@
 	// The draw spreads the requests that other processes have just sent, in the same
 	// order, over as many engines.
 	window := min(len(cands), 1+int(math.Ceil(f.unseenRequests(now))))
-	fitting := make([]*server, 0, window)
-	var best *server
-	bestIterationMS := math.Inf(1)
+	pool := make([]*server, 0, window)
+	var others []loadedServer
 	for _, s := range cands {
 		l := s.load()
 		if l.Requests >= slots || l.MemoryTokens+r.PromptTokens+r.MaxOutputTokens > m.Engine().MemoryTokens {
 			continue
 		}
 		iterationMS := m.IterationMS(l.Requests+1, l.MemoryTokens+r.PromptTokens, l.PrefillMS+prefillMS)
-		if iterationMS <= f.cfg.ShortIterationMS && l.Requests < maxRequests && s.failureScore < 1 {
-			if fitting = append(fitting, s); len(fitting) >= window {
-				return f.newShortPlan(r, fitting[f.randIntN(len(fitting))], prefillMS, "packed"), nil
-			}
+		if iterationMS > f.cfg.ShortIterationMS || l.Requests >= maxRequests || s.failureScore >= 1 {
+			others = append(others, loadedServer{
+				server:      s,
+				iterationMS: iterationMS + 100*s.failureScore,
+			})
 			continue
 		}
-		if iterationMS += 100 * s.failureScore; iterationMS < bestIterationMS {
-			best, bestIterationMS = s, iterationMS
+		if pool = append(pool, s); len(pool) >= window {
+			return f.newShortPlan(r, pool[f.randIntN(len(pool))], prefillMS, "packed"), nil
 		}
 	}
-	if len(fitting) > 0 {
-		return f.newShortPlan(r, fitting[f.randIntN(len(fitting))], prefillMS, "packed"), nil
+	packed := len(pool)
+	slices.SortStableFunc(others, func(a, b loadedServer) int { return cmp.Compare(a.iterationMS, b.iterationMS) })
+	for _, o := range others[:min(len(others), window-packed)] {
+		pool = append(pool, o.server)
 	}
-	if best == nil {
+	if len(pool) == 0 {
 		if !r.Urgent {
 			return Plan{}, pwverdict.New(pwverdict.NotRun, pwverdict.CauseConcurrencyFull, "all slots of %q are taken", r.Service)
 		}
-		best = slices.MinFunc(cands, func(a, b *server) int { return cmp.Compare(a.load().Requests, b.load().Requests) })
+		least := slices.MinFunc(cands, func(a, b *server) int { return cmp.Compare(a.load().Requests, b.load().Requests) })
+		return f.newShortPlan(r, least, prefillMS, "shortest_pass"), nil
+	}
+	i := f.randIntN(len(pool))
+	reason := "shortest_pass"
+	if i < packed {
+		reason = "packed"
 	}
-	return f.newShortPlan(r, best, prefillMS, "shortest_pass"), nil
+	return f.newShortPlan(r, pool[i], prefillMS, reason), nil
+}
+
+// loadedServer is an engine with the iteration that it would have with one more short
+// prompt.
+type loadedServer struct {
+	server      *server
+	iterationMS float64
 }
 
 func (f *Fleet) newShortPlan(r Request, s *server, prefillMS float64, reason string) Plan {
