--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwquarantine"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
@@ -126,9 +129,9 @@
 	return out
 }
 
-// probeCrash connects to a server after a broken response. It records a crash if
-// the server no longer listens.
-func (g *Gateway) probeCrash(x *exchange, address string) {
+// probeCrash connects to a server after a broken response, of which this server had sent
+// the given number of events. It records a crash if the server no longer listens.
+func (g *Gateway) probeCrash(x *exchange, server pwcatalog.BackendServer, events int) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*crashProbeDelay+g.cfg.Deployment.Bounds.StallTimeout)
 	defer cancel()
 	select {
@@ -136,11 +139,18 @@
 		return
 	case <-time.After(crashProbeDelay):
 	}
-	conn, err := g.pool.Get(ctx, address)
+	conn, err := g.pool.Get(ctx, server.Address)
 	if err == nil {
 		conn.Close()
 		return
 	}
-	g.crashes.record(x.fingerprint, xxhash.Sum64String(x.metadata.ID+address), 0)
-	g.obs.LogEvent("crash_counted", x.logFields("backend_address", address, "probe", err.Error()))
+	g.crashes.record(x.fingerprint, xxhash.Sum64String(x.metadata.ID+server.Address), 0)
+	g.obs.LogEvent("crash_counted", x.logFields(
+		"backend_server", server.ID,
+		"backend_address", server.Address,
+		"probe", err.Error(),
+		"events", events,
+		"fingerprint", fmt.Sprintf("%016x", x.fingerprint),
+		"prompt_parts", strings.Join(x.metadata.PromptParts, ","),
+	))
 }
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -336,10 +336,11 @@
 		}
 	}
 	s := &send{
-		x:          x,
-		plan:       plan,
-		assignment: assignment,
-		helpers:    helpers,
+		x:            x,
+		plan:         plan,
+		assignment:   assignment,
+		helpers:      helpers,
+		eventsBefore: x.eventCount,
 	}
 	return s.execute(ctx)
 }
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -41,6 +41,9 @@
 	MaxOutputTokens int64
 	// LastEventID is the event after which a stream is resumed, or "".
 	LastEventID string
+	// PromptParts holds the identifiers of the parts of the prompt, in order. Requests
+	// share parts; the last one belongs to the request or its session.
+	PromptParts []string
 }
 
 // Helper is an engine that runs the prefill of a part of a prompt.
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -42,6 +42,8 @@
 	conn       *pwupstream.Conn
 	watchdog   *watchdog
 	gaps       gapWindow
+	// eventsBefore is the number of events that earlier sends delivered.
+	eventsBefore int
 	// timedOut is set when the watchdog ended the send.
 	timedOut atomic.Bool
 }
@@ -209,7 +211,7 @@
 	if s.timedOut.Load() {
 		err = pwverdict.Wrap(errServerUnresponsive, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "%s", s.plan.Server.ID)
 	} else {
-		go x.g.probeCrash(x, s.plan.Server.Address)
+		go x.g.probeCrash(x, s.plan.Server, x.eventCount-s.eventsBefore)
 	}
 	return x.route.Repeatable() && x.runs < x.route.Attempts, err
 }
