--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -35,10 +35,14 @@
 	mu          sync.Mutex
 	requests    []*http.Request
 	closedConns int
+	conns       []net.Conn
 }
 
 func (b *backend) serve(c net.Conn) {
 	defer closeConn(c)
+	b.mu.Lock()
+	b.conns = append(b.conns, c)
+	b.mu.Unlock()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -59,6 +63,15 @@
 	}
 }
 
+// closeConns closes all connections, as a crash does.
+func (b *backend) closeConns() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.conns {
+		closeConn(c)
+	}
+}
+
 func (b *backend) received() []*http.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -161,6 +174,8 @@
 	backends     map[string]*backend
 	engines      *fakeEngines
 	storeContact time.Time
+	// lookUp replaces backends, if set.
+	lookUp func(address string) *backend
 	// settleTime is how long the cleanup lets crash probes and releases finish.
 	settleTime time.Duration
 }
@@ -271,6 +286,9 @@
 
 func (f *fixture) dial(_ context.Context, _, address string) (net.Conn, error) {
 	b := f.backends[address]
+	if f.lookUp != nil {
+		b = f.lookUp(address)
+	}
 	if b == nil || len(b.replies) == 0 {
 		return nil, errors.New("connection refused")
 	}
