Quarantine parts of prompts that crash servers

Cause: a request that crashes servers was recognised by its path, workspace and body. Requests that share a part of their prompts are never alike, so no count reached two. Class: evidence is counted by the identity of the whole, although the cause lies in a part that others share. Beside it, messages repeated the 8 oldest crashes for 5 s and newer ones waited. Crashes that were sent least often are sent first. The message format changes: gateways of both versions do not hear each other.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -168,6 +168,7 @@
 		Wait:       watchWait(d.Bounds),
 		BatchDelay: d.Bounds.DrainTimeout / serverBatchDivisor,
 	}, p.obs, p.gateway.ApplyServers)
+	quarantine := pwgateway.NewQuarantineKeeper(p.gateway, platform.NewQuarantineTable(client))
 	p.gateway.SetStoreContact(p.operatorFollower.LastContact)
 	var err error
 	p.exchange, err = pwpeering.New(pwpeering.Config{
@@ -190,7 +191,7 @@
 	defer p.wg.Wait()
 	defer stop()
 	for _, loop := range []func(context.Context){
-		p.operatorFollower.Run, p.serverFollower.Run, p.gateway.Run, p.exchange.Run, p.directory.Run, p.loopSettings,
+		p.operatorFollower.Run, p.serverFollower.Run, p.gateway.Run, p.exchange.Run, p.directory.Run, quarantine.Run, p.loopSettings,
 	} {
 		p.wg.Add(1)
 		go func() {
--- a/internal/core/pwexplain/explain.go
+++ b/internal/core/pwexplain/explain.go
@@ -184,7 +184,8 @@
 				found = append(found, l)
 			}
 		case "store lost", "store is back", "store history lost", "config_in_force", "data_centre_marked",
-			"start", "stop", "stopping", "reload", "lines_left_out", "peer_silent":
+			"start", "stop", "stopping", "reload", "lines_left_out", "peer_silent",
+			"part_quarantined", "part_released", "quarantine_restored":
 			if sameProcess {
 				found = append(found, l)
 			}
@@ -247,7 +248,7 @@
 	"deadline_unreachable": "the work that came first would have taken longer than its caller waits",
 	"deadline_exceeded":    "its time was over before a server could be asked, or while one worked",
 	"retry_budget":         "a server failed it, and the service's retry budget was used up",
-	"quarantined":          "it had crashed backend servers before",
+	"quarantined":          "it, or others with a part of its prompt, had crashed backend servers before",
 	"unavailable":          "a backend server could not be reached, or the connection broke without an answer",
 	"engine_failed":        "a backend server failed, stopped responding or broke off while it worked on the request",
 }
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -54,6 +54,9 @@
 	stripCredential bool
 	body            []byte
 	fingerprint     uint64
+	// sharedParts holds the hashes of the parts of the prompt that other requests may
+	// share.
+	sharedParts []uint64
 
 	// sends counts the sends on a connection, and runs those that a server may have
 	// run. rejections counts the attempts that certainly did not run: those that a
@@ -221,8 +224,12 @@
 	x.deadline = x.arrivedAt.Add(timeout)
 	x.lastEventID = metadata.LastEventID
 	x.fingerprint = fingerprint(x.r.RequestURI, x.workspace, x.body)
-	if x.g.crashes.isQuarantined(x.fingerprint) {
-		return newRefusal(http.StatusServiceUnavailable, pwverdict.CauseQuarantined, "the request crashed %d backend servers", crashLimit)
+	x.sharedParts = sharedParts(metadata.PromptParts)
+	if err := x.g.crashes.check(x); err != nil {
+		return &refusal{
+			error:  err,
+			status: http.StatusServiceUnavailable,
+		}
 	}
 	return nil
 }
@@ -251,7 +258,7 @@
 		}
 		retryable, err := x.trySend(ctx, plan, assignment)
 		if err == nil {
-			x.g.crashes.recordCompletion(x.fingerprint)
+			x.g.crashes.recordRequestEnd(x.fingerprint)
 			return
 		}
 		if !retryable || ctx.Err() != nil {
@@ -322,6 +329,10 @@
 	if hasCallerLeft(x.r.Context()) {
 		return false, errCallerLeft
 	}
+	// Servers may have crashed under the request or a part of its prompt since it arrived.
+	if err := x.g.crashes.check(x); err != nil {
+		return false, err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	helpers, release, err := x.reserveEngineMemory(ctx, plan)
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -151,7 +151,7 @@
 		obs:          obs,
 		storeContact: time.Now,
 	}
-	g.crashes = newCrashTracker()
+	g.crashes = newCrashTracker(obs)
 	g.dispatcher = newDispatcher(pwfleet.New(cfg.Fleet), cfg.Deployment, cfg.Policy, obs)
 	return g
 }
--- a/internal/node/pwgateway/peers.go
+++ b/internal/node/pwgateway/peers.go
@@ -32,11 +32,12 @@
 // OwnCrashes implements pwpeering.View.
 func (g *Gateway) OwnCrashes() []pwpeering.Crash { return g.crashes.gossip() }
 
+// RecalledCrashes implements pwpeering.View.
+func (g *Gateway) RecalledCrashes() []pwpeering.Crash { return g.crashes.recall() }
+
 // MergePeer implements pwpeering.View.
 func (g *Gateway) MergePeer(peer string, m pwpeering.Message) {
-	for _, c := range m.Crashes {
-		g.crashes.record(c.Fingerprint, c.Attempt, max(time.Millisecond, time.Duration(c.AgeMS)*time.Millisecond))
-	}
+	g.crashes.merge(m.Crashes)
 	g.dispatcher.mergePeer(peer, m)
 }
 
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -264,6 +264,9 @@
 		return true, err
 	}
 	s.reportSuccess(resp)
+	if resp.StatusCode/100 == 2 {
+		x.g.crashes.recordAnswer(s.plan.Server, x.sharedParts)
+	}
 	copyHeaders(x.w.Header(), resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
 	if _, err := x.w.Write(body); err != nil {
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -186,6 +186,9 @@
 		s.writeHead(resp, http.NewResponseController(x.w))
 	}
 	s.releaseConn(resp)
+	if x.eventCount > s.eventsBefore {
+		x.g.crashes.recordAnswer(s.plan.Server, x.sharedParts)
+	}
 	x.logStatus("answered", resp.StatusCode, nil)
 	return false, nil
 }
--- a/internal/node/pwpeering/message.go
+++ b/internal/node/pwpeering/message.go
@@ -15,17 +15,17 @@
 const (
 	// messageMagic is the first field of every message. It names the version of the
 	// format; messages of other versions are dropped.
-	messageMagic = uint32(0x70776c33)
+	messageMagic = uint32(0x70776c34)
 	headerBytes  = 4 + 8 + 8 + 1 + 2 + 2 + 2 + 2 + 1 + 1 + 1
 	loadBytes    = 8 + 2 + 1 + 1 + 1 + 2
-	crashBytes   = 8 + 8 + 4
+	crashBytes   = 1 + 1 + 8 + 8 + 4
 	budgetBytes  = 8 + 4 + 4
-	// maxLoads, maxCrashes and maxBudgets bound the records of one message.
+	// maxLoads, MaxCrashes and maxBudgets bound the records of one message.
 	maxLoads   = 64
-	maxCrashes = 8
+	MaxCrashes = 12
 	maxBudgets = 8
 	// maxMessageBytes is the size of the largest message.
-	maxMessageBytes = headerBytes + maxLoads*loadBytes + maxCrashes*crashBytes + maxBudgets*budgetBytes
+	maxMessageBytes = headerBytes + maxLoads*loadBytes + MaxCrashes*crashBytes + maxBudgets*budgetBytes
 	// prefillUnitMS and memoryUnitTokens are the units of a load record, queueUnitMS that
 	// of the prefill of queued requests.
 	prefillUnitMS    = 0.25
@@ -40,13 +40,34 @@
 	flagWaiting = 2
 )
 
-// Crash is a crash of a backend server while it processed a request.
+// CrashKind states what a Crash record is about.
+type CrashKind uint8
+
+// Kinds of Crash records.
+const (
+	// CrashOfRequest is a crash of a server that was running a request.
+	CrashOfRequest CrashKind = iota
+	// CrashOfPart is a crash of a server that was running a request with a part in its
+	// prompt.
+	CrashOfPart
+	// ClearedPart states that a request with a part in its prompt was answered.
+	ClearedPart
+	// StoredPart is like CrashOfPart, and states that the platform's store has the
+	// part's crashes.
+	StoredPart
+	crashKinds
+)
+
+// Crash is a crash of a backend server, or the clearance of a part of a prompt.
 type Crash struct {
-	// Fingerprint is a hash of the request's path, caller and body.
+	Kind CrashKind
+	// Depth is the position of the part in the prompt, from 0.
+	Depth uint8
+	// Fingerprint is a hash of the request's path, caller and body, or of the part.
 	Fingerprint uint64
-	// Attempt identifies the attempt.
+	// Attempt identifies the attempt, or for a part the server. It is 0 for a clearance.
 	Attempt uint64
-	// AgeMS is how long ago the crash was, in milliseconds.
+	// AgeMS is how long ago the crash or clearance was, in milliseconds.
 	AgeMS uint32
 }
 
@@ -110,6 +131,7 @@
 		b = le.AppendUint16(b, clampUint16(math.Ceil(float64(l.MemoryTokens)/memoryUnitTokens)))
 	}
 	for _, c := range m.Crashes {
+		b = append(b, byte(c.Kind), c.Depth)
 		b = le.AppendUint64(b, c.Fingerprint)
 		b = le.AppendUint64(b, c.Attempt)
 		b = le.AppendUint32(b, c.AgeMS)
@@ -150,7 +172,7 @@
 		},
 	}
 	loads, crashes, budgets := int(raw[29]), int(raw[30]), int(raw[31])
-	if loads > maxLoads || crashes > maxCrashes || budgets > maxBudgets || !e.cell.IsValid() ||
+	if loads > maxLoads || crashes > MaxCrashes || budgets > maxBudgets || !e.cell.IsValid() ||
 		len(raw) != headerBytes+loads*loadBytes+crashes*crashBytes+budgets*budgetBytes {
 		return envelope{}, Message{}, errMalformedMessage
 	}
@@ -171,10 +193,15 @@
 	}
 	m.Crashes = make([]Crash, crashes)
 	for i := range m.Crashes {
+		if CrashKind(raw[0]) >= crashKinds {
+			return envelope{}, Message{}, errMalformedMessage
+		}
 		m.Crashes[i] = Crash{
-			Fingerprint: le.Uint64(raw),
-			Attempt:     le.Uint64(raw[8:]),
-			AgeMS:       le.Uint32(raw[16:]),
+			Kind:        CrashKind(raw[0]),
+			Depth:       raw[1],
+			Fingerprint: le.Uint64(raw[2:]),
+			Attempt:     le.Uint64(raw[10:]),
+			AgeMS:       le.Uint32(raw[18:]),
 		}
 		raw = raw[crashBytes:]
 	}
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -20,6 +20,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,8 +58,11 @@
 	OwnQueue() pwturn.Report
 	// OwnBudgets returns this process's recent use of each service's retry budget.
 	OwnBudgets() []BudgetUsage
-	// OwnCrashes returns the crashes to report to peers.
+	// OwnCrashes returns the crashes to report to all peers, the most urgent first.
 	OwnCrashes() []Crash
+	// RecalledCrashes returns some older crashes in turn, for processes of the own cell
+	// that started, or were cut off, when they were reported.
+	RecalledCrashes() []Crash
 	// MergePeer merges the load, the budget use and the crashes that a peer reported.
 	MergePeer(peer string, m Message)
 }
@@ -260,8 +264,11 @@
 		clear(x.sentLoads)
 	}
 	changed := x.changedLoads()
+	var crashes []Crash
 	if heartbeat {
-		m.Crashes = firstN(x.view.OwnCrashes(), maxCrashes)
+		crashes = firstN(x.view.OwnCrashes(), MaxCrashes)
+		recalled := firstN(x.view.RecalledCrashes(), MaxCrashes)
+		m.Crashes = slices.Concat(firstN(crashes, MaxCrashes-len(recalled)), recalled)
 		m.Budgets = firstN(x.view.OwnBudgets(), maxBudgets)
 	}
 	if len(changed) == 0 && m.Queue.Waiting == x.sentWaiting && !m.Full && !heartbeat {
@@ -269,7 +276,7 @@
 	}
 	x.sentWaiting = m.Queue.Waiting
 	var out []datagram
-	crashes, queue := m.Crashes, m.Queue
+	queue := m.Queue
 	for {
 		m.Loads = firstN(changed, maxLoads)
 		changed = changed[len(m.Loads):]
