--- a/internal/core/pwexplain/explain.go
+++ b/internal/core/pwexplain/explain.go
@@ -179,7 +179,8 @@
 			ex.LinesLeftOut += toInt(l.Fields["count"])
 		}
 		switch l.Message {
-		case "server_gone", "server_lapsed", "server_listed", "server_suspect", "crash_counted":
+		case "server_gone", "server_lapsed", "server_listed", "server_suspect", "crash_counted",
+			"server_limited", "server_limit_lifted":
 			if servers[l.FieldText("backend_server")] {
 				found = append(found, l)
 			}
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -179,6 +179,8 @@
 	peerLoad   Load
 	coldUntil  time.Time
 	coldBucket tokenBucket
+	// limit is the limit that the server states, or nil.
+	limit *requestLimit
 	// failureScore grows by 1 with each failure and decays with successes.
 	failureScore float64
 	suspectUntil time.Time
@@ -335,6 +337,7 @@
 		s.failureScore, s.suspectUntil, s.fullUntil, s.replaced = 0, time.Time{}, time.Time{}, false
 		s.slowdown, s.slowUntil, s.slowDuration = movingMean{}, time.Time{}, 0
 		s.coldUntil, s.coldBucket = time.Time{}, tokenBucket{}
+		s.limit = nil
 	}
 	if s.info.DataCentre != info.DataCentre {
 		f.cells.stale = true
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -82,6 +82,10 @@
 	Misdirected bool
 	// RejectedBy is the address of the server that caused a rejection, or "".
 	RejectedBy string
+	// Limit is the number of requests a second that the server takes from all processes
+	// together; Limited is set if it states one.
+	Limit   float64
+	Limited bool
 }
 
 // Codec translates between the platform's headers and the gateway's types.
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		return s.handleNoResponse(err)
 	}
+	s.recordLimit(metadata)
 	if metadata.NotRun || metadata.Misdirected {
 		return s.handleRejection(resp, metadata)
 	}
@@ -159,6 +160,25 @@
 	}
 }
 
+// recordLimit records the limit that a response states, or that it states none. A
+// rejection without a limit may come from a proxy or another server.
+func (s *send) recordLimit(metadata ResponseMetadata) {
+	if metadata.Misdirected || !metadata.Limited && !metadata.Signed {
+		return
+	}
+	changed := false
+	s.x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
+		changed = f.RecordLimit(now, s.plan.Server.ID, metadata.Limit, metadata.Limited)
+	})
+	switch {
+	case !changed:
+	case metadata.Limited:
+		s.x.g.obs.LogEvent("server_limited", s.x.logFields("backend_server", s.plan.Server.ID, "per_second", metadata.Limit))
+	default:
+		s.x.g.obs.LogEvent("server_limit_lifted", s.x.logFields("backend_server", s.plan.Server.ID))
+	}
+}
+
 // handleRejection handles a response which states that the request has not run.
 func (s *send) handleRejection(resp *http.Response, metadata ResponseMetadata) (bool, error) {
 	x := s.x
