Leave cold servers to the processes of their cell

Cause: a process whose cell has no usable engine places on those of others. Its rank for a cold server counted only its own cell, so that each cell added as many senders as the bound allows in all. Change: processes of other cells send nothing to servers whose rate is bounded.

--- a/internal/core/pwfleet/cells.go
+++ b/internal/core/pwfleet/cells.go
@@ -148,9 +148,13 @@
 
 // rankedSenders returns the number of processes, at most the given number but at least
 // one, that send to a server whose rate is bounded, or 0 if this process isn't one of
-// them.
+// them. Processes of other cells aren't: their ranks among themselves would add as many
+// senders for each cell.
 func (f *Fleet) rankedSenders(s *server, most int) int {
 	f.updateCells()
+	if !s.inCell {
+		return 0
+	}
 	processes := f.cells.cellHashes
 	if _, divided := f.models[s.info.Service]; !divided {
 		processes = f.cells.allHashes
--- a/internal/core/pwfleet/cells_test.go
+++ b/internal/core/pwfleet/cells_test.go
@@ -58,13 +58,15 @@
 
 // All processes together must keep the bound on requests to a cold server, however many
 // there are and also if none of them hears another: with equal shares, each of 68
-// processes could send one request in the same second, where 26 are allowed.
+// processes could send one request in the same second, where 26 are allowed. With 195
+// engines, of which the others are leaving, processes of all cells want to send to it.
 func TestColdServerBoundHoldsForAnyNumberOfProcesses(t *testing.T) {
 	const rate, factor, slack, seconds = 14, 1.5, 5, 5
-	for _, processes := range []int{1, 4, 68, 640} {
-		t.Run(fmt.Sprint(processes), func(t *testing.T) {
-			rnd := rand.New(rand.NewPCG(1, uint64(processes)))
-			fleets := newLargeFleets(processes, 0, rnd)
+	for _, tc := range []struct{ processes, engines int }{{1, 1}, {4, 1}, {68, 1}, {68, 195}, {640, 1}} {
+		t.Run(fmt.Sprintf("%d processes, %d engines", tc.processes, tc.engines), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(1, uint64(tc.processes)))
+			fleets := newLargeFleets(tc.processes, tc.engines, rnd)
+			drainOthers(fleets, tc.engines)
 			cold := listed("e-0", "model", "dc-0")
 			cold.ColdRemaining = time.Minute
 			for _, f := range fleets {
--- a/internal/core/pwfleet/limit.go
+++ b/internal/core/pwfleet/limit.go
@@ -189,8 +189,7 @@
 
 // limitAllows reports whether this process may send one more request to a server that
 // states a limit. As for cold servers, only the processes of the first ranks send, each
-// an equal share of the limit; processes of other cells, which have ranks of their own,
-// send nothing. What they are known to have sent, also before the limit
+// an equal share of the limit. What they are known to have sent, also before the limit
 // was stated, must leave room in the window.
 func (f *Fleet) limitAllows(now time.Time, s *server) bool {
 	l := s.limit
@@ -198,7 +197,7 @@
 	seconds := limitWindow.Seconds()
 	bound := limitFactor*rate*seconds + limitSlack
 	senders := f.rankedSenders(s, int(limitBurstShare*(bound-rate*seconds)))
-	if senders == 0 || !s.inCell {
+	if senders == 0 {
 		return false
 	}
 	l.bucket.refill(now, rate/float64(senders), 1)
