Take a stream that ends before its first event as broken

Callers would see: an empty answer that looks complete, if a server crashes after the head of a stream that has neither a length nor chunks. Cause: the end of the connection was taken as the end of the stream whenever no event was left incomplete. Change: such a stream needs an event at least to be complete; otherwise the request goes on like one whose connection broke.

--- a/internal/core/pwfleet/cells_test.go
+++ b/internal/core/pwfleet/cells_test.go
@@ -62,11 +62,12 @@
 // engines, of which the others are leaving, processes of all cells want to send to it.
 func TestColdServerBoundHoldsForAnyNumberOfProcesses(t *testing.T) {
 	const rate, factor, slack, seconds = 14, 1.5, 5, 5
-	for _, tc := range []struct{ processes, engines int }{{1, 1}, {4, 1}, {68, 1}, {68, 195}, {640, 1}} {
-		t.Run(fmt.Sprintf("%d processes, %d engines", tc.processes, tc.engines), func(t *testing.T) {
-			rnd := rand.New(rand.NewPCG(1, uint64(tc.processes)))
-			fleets := newLargeFleets(tc.processes, tc.engines, rnd)
-			drainOthers(fleets, tc.engines)
+	for _, size := range [][2]int{{1, 1}, {4, 1}, {68, 1}, {68, 195}, {640, 1}} {
+		processes, engines := size[0], size[1]
+		t.Run(fmt.Sprintf("%d processes, %d engines", processes, engines), func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(1, uint64(processes)))
+			fleets := newLargeFleets(processes, engines, rnd)
+			drainOthers(fleets, engines)
 			cold := listed("e-0", "model", "dc-0")
 			cold.ColdRemaining = time.Minute
 			for _, f := range fleets {
--- a/internal/core/pwfleet/limit_test.go
+++ b/internal/core/pwfleet/limit_test.go
@@ -53,17 +53,16 @@
 // together. All of them want to send to it all the time, and with 195 engines also those
 // of other cells, because no other engine is left.
 func TestServerLimitHoldsForAnyNumberOfProcesses(t *testing.T) {
-	for _, tc := range []struct{ processes, engines int }{
-		{1, 1}, {4, 1}, {12, 1}, {68, 1}, {68, 195}, {640, 1},
-	} {
+	for _, size := range [][2]int{{1, 1}, {4, 1}, {12, 1}, {68, 1}, {68, 195}, {640, 1}} {
+		processes, engines := size[0], size[1]
 		for _, limit := range []float64{0, 0.3, 1.4, 8} {
-			t.Run(fmt.Sprintf("%d processes, %d engines, %g a second", tc.processes, tc.engines, limit), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d processes, %d engines, %g a second", processes, engines, limit), func(t *testing.T) {
 				seconds := 20
 				if limit < minLimitRate {
 					seconds = 40
 				}
-				fleets := newLargeFleets(tc.processes, tc.engines, rand.New(rand.NewPCG(1, uint64(tc.processes))))
-				drainOthers(fleets, tc.engines)
+				fleets := newLargeFleets(processes, engines, rand.New(rand.NewPCG(1, uint64(processes))))
+				drainOthers(fleets, engines)
 				// Before the limit is stated, the server got some requests already.
 				var sentAt []int
 				for i := range int(2 * limit) {
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -142,7 +142,7 @@
 		if metadata.ID == s.x.metadata.ID || metadata.ID == "" && resp.StatusCode/100 != 2 {
 			return resp, metadata, nil
 		}
-		if metadata.ID == "" || stray == maxStrayResponses || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		if metadata.ID == "" || stray == maxStrayResponses || !isFramed(resp) {
 			return nil, ResponseMetadata{}, pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseEngineFailed,
 				"the response belongs to request %q, not to %q", metadata.ID, s.x.metadata.ID)
 		}
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -28,6 +28,15 @@
 // errEventOrder is returned when a stream skips events.
 var errEventOrder = errors.New("the stream does not continue after the last delivered event")
 
+// errNoEvents is returned for a stream without any event that ended with its connection.
+// Nothing shows that its server had finished it.
+var errNoEvents = errors.New("the connection ended before the first event")
+
+// isFramed reports whether a response has a length or chunks, which show its end.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // readEvent reads up to the blank line that ends an event. Blank lines and comments
 // before an event are returned with it. At the end of the stream it returns io.EOF and
 // the bytes that were left.
@@ -84,6 +93,9 @@
 	for {
 		ev, err := readEvent(br)
 		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(ev.raw)) == 0 {
+			if x.eventCount == 0 && !isFramed(resp) {
+				return s.handleBrokenStream(errNoEvents)
+			}
 			return s.finishStream(resp)
 		}
 		if err != nil {
