Take comments after the last event as the end of a stream

Callers saw: a stream that ends with a comment was sent again from its last event on, and cut if no attempt was left. Cause: comments are kept for the event that follows; at the end of the stream they were taken for the beginning of an event. Change: what is left at the end is an incomplete event only if it holds more than complete comments and blank lines. It is passed on, too. Evidence: TestStreamThatEndsWithItsConnection/complete,_last_a_comment failed before, resumed after event 3.

--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -25,6 +25,17 @@
 	id  string
 }
 
+// begun reports whether the bytes hold more than complete comments and blank lines.
+func (e event) begun() bool {
+	for line := range bytes.Lines(e.raw) {
+		text := bytes.TrimSpace(line)
+		if len(text) > 0 && (text[0] != ':' || !bytes.HasSuffix(line, []byte("\n"))) {
+			return true
+		}
+	}
+	return false
+}
+
 // errEventOrder is returned when a stream skips events.
 var errEventOrder = errors.New("the stream does not continue after the last delivered event")
 
@@ -92,11 +103,11 @@
 	rc := http.NewResponseController(x.w)
 	for {
 		ev, err := readEvent(br)
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(ev.raw)) == 0 {
+		if errors.Is(err, io.EOF) && !ev.begun() {
 			if x.eventCount == 0 && !isFramed(resp) {
 				return s.handleBrokenStream(errNoEvents)
 			}
-			return s.finishStream(resp)
+			return s.finishStream(resp, ev.raw)
 		}
 		if err != nil {
 			return s.handleBrokenStream(err)
@@ -190,13 +201,17 @@
 	return "long"
 }
 
-// finishStream ends an exchange whose stream is complete.
-func (s *send) finishStream(resp *http.Response) (bool, error) {
+// finishStream ends an exchange whose stream is complete. rest holds what followed the
+// last event.
+func (s *send) finishStream(resp *http.Response, rest []byte) (bool, error) {
 	x := s.x
 	if !x.headWritten {
 		// A stream without any event is complete when its server ends it.
 		s.writeHead(resp, http.NewResponseController(x.w))
 	}
+	if _, err := x.w.Write(rest); err != nil {
+		return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseCancelled, "writing to the caller")
+	}
 	s.releaseConn(resp)
 	if x.eventCount > s.eventsBefore {
 		x.g.crashes.recordAnswer(s.plan.Server, x.sharedParts)
--- a/internal/node/pwgateway/stream_end_test.go
+++ b/internal/node/pwgateway/stream_end_test.go
@@ -27,6 +27,10 @@
 			body:  completeStream,
 			after: "complete",
 		},
+		"complete, last a comment": {
+			body:  completeStream + ": end\n\n",
+			after: "complete",
+		},
 		"inside a line": {
 			body:  events + "id: 3\nda",
 			after: "2",
@@ -66,8 +70,12 @@
 				if aborted || resumedAfter != tc.after {
 					t.Errorf("aborted %t, resumed after %q, want %q", aborted, resumedAfter, tc.after)
 				}
-				if got := w.Body.String(); got != completeStream && got != tc.body {
-					t.Errorf("body %q", got)
+				want := completeStream
+				if tc.after == "complete" {
+					want = tc.body
+				}
+				if got := w.Body.String(); got != want {
+					t.Errorf("body %q, want %q", got, want)
 				}
 			})
 		})
