Let the soak crash servers under a part and state limits

Change: faults are added: servers crash under a part of prompts, a server states a limit, signals come in series at intervals of 120 ms. One stream in ten ends with its connection. Callers keep to an entry and its connections until they end, whether it is ready or not. After the recovery a server states a limit and the crashing part still comes: both bounds are checked. The number of processes is an option.

--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -21,6 +21,8 @@
 	streamEvents = 8
 	// eventPause is the time between two events of a stream.
 	eventPause = 15 * time.Millisecond
+	// unframedOneIn is the number of streams of which one ends with its connection.
+	unframedOneIn = 10
 )
 
 // runCounter counts how often each request ran, by attempt id, over all backend
@@ -42,6 +44,54 @@
 	return c.counts[id]
 }
 
+// conditions are what the backend servers of a run have in common: a part of prompts
+// under which they crash, and what they have to do with it.
+type conditions struct {
+	mu sync.Mutex
+	// crashingPart is the part, or "".
+	crashingPart string
+	// reached holds when requests with the part reached servers.
+	reached []time.Time
+	// onCrash is called when a server has crashed under the part.
+	onCrash func(b *backend)
+}
+
+// reach records that a request reached a server and reports whether it crashes it.
+func (c *conditions) reach(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.crashingPart == "" || !strings.Contains(r.Header.Get("X-Prompt-Prefix"), c.crashingPart+":") {
+		return false
+	}
+	c.reached = append(c.reached, time.Now())
+	return true
+}
+
+func (c *conditions) setCrashingPart(part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashingPart = part
+}
+
+func (c *conditions) part() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.crashingPart
+}
+
+// reachedSince counts the requests with the part that reached servers since a time.
+func (c *conditions) reachedSince(from time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, at := range c.reached {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
 // backend is a fake backend server behind a fault-injecting proxy.
 type backend struct {
 	id        string
@@ -53,12 +103,20 @@
 	srv       *http.Server
 	proxy     *proxy
 	startedMS int64
+	common    *conditions
+
+	mu sync.Mutex
+	// limit is the number of requests a second that the server states to take, or 0 for
+	// no limit. arrivals holds when requests reached it while it stated one.
+	limit    float64
+	arrivals []time.Time
 }
 
 // startBackend starts a backend server and its proxy, and publishes the server as
 // ready in the platform's store.
-func startBackend(ctx context.Context, id, service, zone string, runs *runCounter, store *pwfakeplatform.Store) (*backend, error) {
+func startBackend(ctx context.Context, id, service, zone string, runs *runCounter, store *pwfakeplatform.Store, common *conditions) (*backend, error) {
 	b := &backend{
+		common:    common,
 		id:        id,
 		service:   service,
 		zone:      zone,
@@ -134,6 +192,7 @@
 		return
 	}
 	b.runs.add(id)
+	b.stateLimit(h)
 	h.Set("X-Response-Seal", "seal."+id)
 	if r.Header.Get("X-Token-Counts") != "" {
 		b.serveStream(w, r)
@@ -144,9 +203,51 @@
 	_, _ = fmt.Fprintf(w, "%s %s %s", id, r.URL.Path, body)
 }
 
-// serveStream sends the events after Last-Event-Id, up to streamEvents.
+// setLimit makes the server state a limit, or none if it is 0.
+func (b *backend) setLimit(perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit, b.arrivals = perSecond, nil
+}
+
+// stateLimit adds the limit to the headers of an answer and records the arrival.
+func (b *backend) stateLimit(h http.Header) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit > 0 {
+		h.Set("Server-Limit", fmt.Sprint(b.limit))
+		b.arrivals = append(b.arrivals, time.Now())
+	}
+}
+
+// arrivedSince counts the requests that reached the server since a time and after it had
+// stated its limit.
+func (b *backend) arrivedSince(from time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, at := range b.arrivals {
+		if at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// serveStream sends the events after Last-Event-Id, up to streamEvents. Some streams have
+// no chunks and end with their connection. The server crashes instead of the first event
+// if the prompt has the crashing part.
 func (b *backend) serveStream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "text/event-stream")
+	if rand.IntN(unframedOneIn) == 0 {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	if b.common.reach(r) {
+		time.Sleep(eventPause)
+		b.crash()
+		b.common.onCrash(b)
+		return
+	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= streamEvents; i++ {
 		time.Sleep(eventPause)
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -25,6 +25,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,7 +37,7 @@
 )
 
 const (
-	entryCount     = 2
+	defaultEntries = 2
 	modelServers   = 4
 	deskServers    = 3
 	callerCount    = 10
@@ -45,6 +47,24 @@
 	// resetInterval is long enough for some requests to run before a reset cuts off
 	// their response.
 	resetInterval = 30 * time.Millisecond
+	// maxLaterRequests is the number of requests with a part that has crashed five servers
+	// that may reach servers later. It is checked after the recovery, because processes
+	// that are disturbed are excused.
+	maxLaterRequests = 3
+	// limitWindow, limitFactor and limitSlack bound the requests to a server that states
+	// a limit, from stableWindow after it first did.
+	limitWindow  = 4 * time.Second
+	limitFactor  = 1.5
+	limitSlack   = 5
+	stableWindow = 3 * time.Second
+	// statedLimit is the limit of a server, in requests a second.
+	statedLimit = 2.0
+	// crashReplacementDelay is the time from a crash until a new server replaces it.
+	crashReplacementDelay = 1500 * time.Millisecond
+	// crashingOneIn is the number of requests of which one has the crashing part.
+	crashingOneIn = 8
+	// sharedParts is the number of parts that the other prompts share.
+	sharedParts = 5
 )
 
 // Options configures a run.
@@ -58,6 +78,8 @@
 	FaultDuration time.Duration
 	// WorkDir is an existing directory for the settings and logs of the processes.
 	WorkDir string
+	// Entries is the number of processes; 0 stands for 2.
+	Entries int
 }
 
 // Report is the outcome of a run.
@@ -86,6 +108,7 @@
 	entries      []*entry
 	servers      map[string]*backend
 	storeAddress string
+	common       *conditions
 	// version is the version of the newest configuration.
 	version atomic.Int64
 
@@ -115,6 +138,10 @@
 			counts: make(map[string]int),
 		},
 		servers: make(map[string]*backend),
+		common:  &conditions{},
+	}
+	if s.opts.Entries <= 0 {
+		s.opts.Entries = defaultEntries
 	}
 	defer s.stop()
 	if err := s.start(ctx); err != nil {
@@ -130,9 +157,13 @@
 			s.runCaller(ctx, rand.New(rand.NewPCG(opts.Seed, uint64(100+i))))
 		}()
 	}
+	s.common.onCrash = func(b *backend) { s.replaceCrashed(ctx, b) }
 	s.injectFaults(ctx)
 	s.clearFaults()
+	calmFrom := time.Now()
+	s.server(0).setLimit(statedLimit)
 	sleep(ctx, recoveryTime)
+	s.checkBounds(calmFrom)
 	s.mu.Lock()
 	before := s.report
 	s.mu.Unlock()
@@ -145,6 +176,41 @@
 	return s.report, nil
 }
 
+// checkBounds checks after the recovery what the processes together send to a server
+// that states a limit and, if it has crashed enough servers, under the crashing part.
+func (s *soak) checkBounds(calmFrom time.Time) {
+	if n := s.server(0).arrivedSince(time.Now().Add(-limitWindow)); float64(n) > limitFactor*statedLimit*limitWindow.Seconds()+limitSlack {
+		s.recordViolation("a server that states a limit of %g a second got %d requests in %s", statedLimit, n, limitWindow)
+	}
+	from := calmFrom.Add(stableWindow)
+	if n := s.common.reachedSince(from); n > maxLaterRequests && s.common.reachedSince(time.Time{})-n >= 5 {
+		s.recordViolation("%d requests with part %q reached servers after it had crashed five", n, s.common.part())
+	}
+}
+
+// replaceCrashed lists a new server in the place of one that crashed under the crashing
+// part.
+func (s *soak) replaceCrashed(ctx context.Context, b *backend) {
+	go func() {
+		sleep(ctx, crashReplacementDelay)
+		s.store.Put("servers", b.id, nil)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for slot, current := range s.servers {
+			if current != b || ctx.Err() != nil {
+				continue
+			}
+			i, err := strconv.Atoi(slot)
+			if err == nil {
+				err = s.addServer(ctx, i)
+			}
+			if err != nil {
+				s.report.Violations = append(s.report.Violations, fmt.Sprintf("failed to replace backend server %s: %v", slot, err))
+			}
+		}
+	}()
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
@@ -176,7 +242,7 @@
 			return err
 		}
 	}
-	for i := range entryCount {
+	for i := range s.opts.Entries {
 		e := &entry{
 			index: i,
 			dir:   filepath.Join(s.opts.WorkDir, fmt.Sprintf("entry-%d", i)),
@@ -205,7 +271,7 @@
 		service = "desk"
 	}
 	s.serversStarted++
-	b, err := startBackend(ctx, fmt.Sprintf("i-%s-%d-%d", service, i, s.serversStarted), service, "a", s.runs, s.store)
+	b, err := startBackend(ctx, fmt.Sprintf("i-%s-%d-%d", service, i, s.serversStarted), service, "a", s.runs, s.store, s.common)
 	if err != nil {
 		return err
 	}
@@ -330,7 +396,23 @@
 	e := s.entries[s.rng.IntN(len(s.entries))]
 	i := s.rng.IntN(modelServers + deskServers)
 	pause := time.Duration(300+s.rng.IntN(1500)) * time.Millisecond
-	switch s.rng.IntN(18) {
+	switch s.rng.IntN(21) {
+	case 18:
+		part := fmt.Sprintf("bad%d", s.rng.IntN(1000))
+		return fmt.Sprintf("servers crash under part %s", part), func(context.Context) { s.common.setCrashingPart(part) }
+	case 19:
+		signals := make([]syscall.Signal, 3+s.rng.IntN(4))
+		for i := range signals {
+			signals[i] = []syscall.Signal{syscall.SIGHUP, syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGTERM, syscall.SIGKILL}[s.rng.IntN(5)]
+		}
+		return fmt.Sprintf("signals %v to entry %d", signals, e.index), func(ctx context.Context) { s.signalSeries(ctx, e, signals) }
+	case 20:
+		return fmt.Sprintf("server %d states a limit for %s", i, pause), func(ctx context.Context) {
+			b := s.server(i)
+			b.setLimit(statedLimit)
+			sleep(ctx, pause)
+			b.setLimit(0)
+		}
 	case 0:
 		return fmt.Sprintf("kill entry %d", e.index), func(ctx context.Context) { s.restartEntry(ctx, e, syscall.SIGKILL) }
 	case 1:
@@ -440,6 +522,22 @@
 	}
 }
 
+// signalSeries sends signals at short intervals, so that their effects overlap, and
+// restarts the process if they end it.
+func (s *soak) signalSeries(ctx context.Context, e *entry, signals []syscall.Signal) {
+	const interval = 120 * time.Millisecond
+	ends := false
+	for _, sig := range signals {
+		ends = ends || sig == syscall.SIGTERM || sig == syscall.SIGKILL
+		s.signalEntry(e, sig)
+		sleep(ctx, interval)
+	}
+	s.signalEntry(e, syscall.SIGCONT)
+	if ends {
+		s.restartEntry(ctx, e, syscall.SIGTERM)
+	}
+}
+
 func (s *soak) freezeEntry(ctx context.Context, e *entry, pause time.Duration) {
 	s.signalEntry(e, syscall.SIGSTOP)
 	sleep(ctx, pause)
@@ -503,8 +601,9 @@
 	s.report.Violations = append(s.report.Violations, fmt.Sprintf(format, args...))
 }
 
-// runCaller sends requests one after the other to random entries, mostly over reused
-// connections.
+// runCaller sends requests one after the other. It chooses an entry that is ready, and
+// keeps to it and its connections, whether it is ready or not, for some requests or until
+// the entry answers no more.
 func (s *soak) runCaller(ctx context.Context, rng *rand.Rand) {
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: 2,
@@ -519,14 +618,24 @@
 			sleep(ctx, 20*time.Millisecond)
 			continue
 		}
-		route := []string{"note", "book", "view"}[rng.IntN(3)]
-		s.sendRequest(ctx, client, e, route, fmt.Sprintf("%016x", rng.Uint64()))
-		sleep(ctx, time.Duration(rng.IntN(20))*time.Millisecond)
+		for range 1 + rng.IntN(40) {
+			route := []string{"note", "book", "view"}[rng.IntN(3)]
+			id := fmt.Sprintf("%016x", rng.Uint64())
+			parts := []string{fmt.Sprint("shared", rng.IntN(sharedParts)), "own" + id}
+			if part := s.common.part(); part != "" && route == "note" && rng.IntN(crashingOneIn) == 0 {
+				parts = slices.Insert(parts, 1, part)
+			}
+			if !s.sendRequest(ctx, client, e, route, id, parts) || ctx.Err() != nil {
+				break
+			}
+			sleep(ctx, time.Duration(rng.IntN(20))*time.Millisecond)
+		}
 	}
 }
 
-// sendRequest sends one request on a route and checks its response.
-func (s *soak) sendRequest(ctx context.Context, client *http.Client, e *entry, route, id string) {
+// sendRequest sends one request on a route, with these parts in its prompt, and checks
+// its response. It reports whether there was one.
+func (s *soak) sendRequest(ctx context.Context, client *http.Client, e *entry, route, id string, parts []string) bool {
 	ctx, cancel := context.WithTimeout(ctx, 9*time.Second)
 	defer cancel()
 	method, body := http.MethodPost, "body of "+id
@@ -536,7 +645,7 @@
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.callerAddress+"/"+route+"/x", strings.NewReader(body))
 	if err != nil {
 		s.recordViolation("failed to build a request to route %q: %v", route, err)
-		return
+		return false
 	}
 	r.Host = "soak.example"
 	// Without GetBody, net/http does not retry the request by itself.
@@ -545,12 +654,15 @@
 	r.Header.Set("X-Deadline-Milliseconds", "8000")
 	if route == "note" {
 		r.Header.Set("X-Token-Counts", "3000,100")
+		r.Header.Set("X-Prompt-Prefix", strings.Join(parts, ":40,")+":40")
 	}
 	status, got, err := roundTrip(client, r)
 	if ctx.Err() != nil {
-		return
+		return false
 	}
-	s.checkResponse(route, id, body, status, got, err)
+	// Requests with the crashing part are not missed, so their outcome does not count.
+	s.checkResponse(route, id, body, status, got, err, len(parts) == 2)
+	return err == nil
 }
 
 // roundTrip returns the status and body of the response. If reading the body fails, it
@@ -566,8 +678,9 @@
 }
 
 // checkResponse counts the outcome of a request, and records a violation if the response
-// contradicts the request or the runs at the backend servers.
-func (s *soak) checkResponse(route, id, body string, status int, got string, err error) {
+// contradicts the request or the runs at the backend servers. The outcome counts only if
+// missed is set.
+func (s *soak) checkResponse(route, id, body string, status int, got string, err error, missed bool) {
 	runs := s.runs.count(id)
 	want := fmt.Sprintf("%s /%s/x %s", id, route, body)
 	if route == "note" {
@@ -579,7 +692,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.report.Sent++
+	report := &s.report
+	if !missed {
+		report = &Report{}
+	}
+	report.Sent++
 	addViolation := func(format string, args ...any) {
 		s.report.Violations = append(s.report.Violations, fmt.Sprintf("%s %s: ", route, id)+fmt.Sprintf(format, args...))
 	}
@@ -588,12 +705,12 @@
 	}
 	switch {
 	case err != nil:
-		s.report.Failed++
+		report.Failed++
 		if status == http.StatusOK && !strings.HasPrefix(want, got) {
 			addViolation("incomplete answer %q is not a prefix of %q", got, want)
 		}
 	case status == http.StatusOK:
-		s.report.Served++
+		report.Served++
 		if got != want {
 			addViolation("answered with %q, want %q", got, want)
 		}
@@ -601,12 +718,12 @@
 			addViolation("was answered, but no backend server ran it")
 		}
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-		s.report.Refused++
+		report.Refused++
 		if runs > 0 {
 			addViolation("was refused as not run, but ran %d times", runs)
 		}
 	default:
-		s.report.Failed++
+		report.Failed++
 		if status < 500 {
 			addViolation("answered with unexpected status %d", status)
 		}
--- a/internal/fake/pwsoak/soak_test.go
+++ b/internal/fake/pwsoak/soak_test.go
@@ -11,9 +11,10 @@
 )
 
 var (
-	seedCount    = flag.Int("soak.seeds", 1, "number of seeds to run")
-	firstSeed    = flag.Uint64("soak.first", 1, "first seed")
+	seedCount    = flag.Int("soak.seeds", 4, "number of seeds to run")
+	firstSeed    = flag.Uint64("soak.first", 1000, "first seed")
 	faultSeconds = flag.Int("soak.seconds", 5, "seconds of faults for each seed")
+	entryCount   = flag.Int("soak.entries", 0, "number of processes; 0 for the default")
 	keptDir      = flag.String("soak.dir", "", "directory that keeps the logs of the processes; default a temporary one")
 )
 
@@ -41,6 +42,7 @@
 			Seed:          seed,
 			FaultDuration: time.Duration(*faultSeconds) * time.Second,
 			WorkDir:       logs,
+			Entries:       *entryCount,
 		})
 		if err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
