Take the soak's ports outside the kernel's range

Cause: with 100 processes three of them found their ports taken: ports that had been free for TCP were taken for UDP or by outgoing connections. Change: ports are drawn below the range of outgoing connections, checked for both protocols, and not given twice in a run.

--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -61,6 +61,10 @@
 	statedLimit = 2.0
 	// crashReplacementDelay is the time from a crash until a new server replaces it.
 	crashReplacementDelay = 1500 * time.Millisecond
+	// firstPort and portCount are the range of the ports of the processes.
+	firstPort    = 12_000
+	portCount    = 20_000
+	maxPortTries = 1000
 	// crashingOneIn is the number of requests of which one has the crashing part.
 	crashingOneIn = 8
 	// sharedParts is the number of parts that the other prompts share.
@@ -109,6 +113,7 @@
 	servers      map[string]*backend
 	storeAddress string
 	common       *conditions
+	takenPorts   map[int]bool
 	// version is the version of the newest configuration.
 	version atomic.Int64
 
@@ -137,8 +142,9 @@
 		runs: &runCounter{
 			counts: make(map[string]int),
 		},
-		servers: make(map[string]*backend),
-		common:  &conditions{},
+		servers:    make(map[string]*backend),
+		common:     &conditions{},
+		takenPorts: make(map[int]bool),
 	}
 	if s.opts.Entries <= 0 {
 		s.opts.Entries = defaultEntries
@@ -279,26 +285,44 @@
 	return nil
 }
 
-// freePorts returns n distinct free ports. Another process may take one before it is
-// used.
-func freePorts(ctx context.Context, n int) ([]int, error) {
+// freePorts returns n ports that are free for TCP and UDP. They are below the range from
+// which the kernel takes the ports of outgoing connections, which would collide with them.
+// Another run may still take one before it is used.
+func (s *soak) freePorts(ctx context.Context, n int) ([]int, error) {
 	var ports []int
-	for range n {
-		l, err := listen(ctx)
-		if err != nil {
-			return nil, err
+	for range maxPortTries {
+		port := firstPort + rand.IntN(portCount)
+		if s.takenPorts[port] || !isPortFree(ctx, port) {
+			continue
+		}
+		s.takenPorts[port] = true
+		if ports = append(ports, port); len(ports) == n {
+			return ports, nil
 		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("no %d free ports found in %d tries", n, maxPortTries)
+}
+
+func isPortFree(ctx context.Context, port int) bool {
+	address := fmt.Sprintf("127.0.0.1:%d", port)
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = l.Close() }()
+	c, err := (&net.ListenConfig{}).ListenPacket(ctx, "udp4", address)
+	if err != nil {
+		return false
+	}
+	_ = c.Close()
+	return true
 }
 
 // startEntry starts the process of an entry. The first start also chooses the ports and
 // writes the settings file, which a restart reuses.
 func (s *soak) startEntry(ctx context.Context, e *entry) error {
 	if e.callerAddress == "" {
-		ports, err := freePorts(ctx, 3)
+		ports, err := s.freePorts(ctx, 3)
 		if err != nil {
 			return err
 		}
