Tell other cells of limits of plain services only

Cause: reports of limits went to all gateways with each heartbeat, also those of engines that other cells don't use, and also from gateways with nothing to report. Change: other cells hear of limits of undivided services, once a second; a gateway that has neither heard nor sent anything lately reports nothing.

--- a/internal/core/pwfleet/limit.go
+++ b/internal/core/pwfleet/limit.go
@@ -22,8 +22,9 @@
 	// minLimitRate is the rate in requests a second at which a server with a lower limit
 	// is asked, because only its answers show that the limit has ended.
 	minLimitRate = 0.1
-	// liftedReportTime is how long peers are told that a limit was lifted.
-	liftedReportTime = 5 * time.Second
+	// limitReportTime is how long peers are told of an answer by a process that sends
+	// nothing to the server, and of a lifted limit.
+	limitReportTime = 5 * time.Second
 	// sendSlot is the resolution of a sendCount, sendSlots the number of its slots: those
 	// within limitWindow, and the current one.
 	sendSlot  = 250 * time.Millisecond
@@ -64,6 +65,9 @@
 	// Sends is the number of requests that the process sent to the server in the last
 	// four seconds.
 	Sends int
+	// AllCells is set if processes of all cells send to the server. It isn't part of
+	// messages.
+	AllCells bool
 }
 
 // sendCount counts the requests sent within limitWindow.
@@ -166,21 +170,31 @@
 	return 0, false
 }
 
-// OwnLimits returns up to n reports for peers, those with the newest answers first.
+// OwnLimits returns up to n reports for peers, those with the newest answers first. A
+// process that has neither heard nor sent anything lately has nothing to report.
 func (f *Fleet) OwnLimits(now time.Time, n int) []LimitReport {
 	var out []LimitReport
 	for _, s := range f.servers {
 		l := s.limit
-		if l == nil || l.lifted && (!l.own || now.Sub(l.statedAt) > liftedReportTime) {
+		if l == nil {
 			continue
 		}
+		sends := 0
+		if !l.lifted {
+			sends = s.sends.sum(now)
+		}
+		if sends == 0 && (!l.own || now.Sub(l.statedAt) > limitReportTime) {
+			continue
+		}
+		_, divided := f.models[s.info.Service]
 		out = append(out, LimitReport{
 			Server:    s.hash,
 			Stated:    l.own,
 			Lifted:    l.lifted,
 			PerSecond: l.perSecond,
 			StatedAt:  l.statedAt,
-			Sends:     s.sends.sum(now),
+			Sends:     sends,
+			AllCells:  !divided,
 		})
 	}
 	slices.SortFunc(out, func(a, b LimitReport) int { return b.StatedAt.Compare(a.StatedAt) })
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -24,6 +24,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
@@ -63,7 +65,8 @@
 	// RecalledCrashes returns some older crashes in turn, for processes of the own cell
 	// that started, or were cut off, when they were reported.
 	RecalledCrashes() []Crash
-	// OwnLimits returns the limits that servers state, for all peers.
+	// OwnLimits returns the limits that servers state, for the own cell, and for all
+	// processes if AllCells is set.
 	OwnLimits() []pwfleet.LimitReport
 	// MergePeer merges the load, the budget use, the crashes and the limits that a peer
 	// reported.
@@ -280,7 +283,11 @@
 	}
 	x.sentWaiting = m.Queue.Waiting
 	var out []datagram
-	queue, limits := m.Queue, m.Limits
+	queue := m.Queue
+	var limits []pwfleet.LimitReport
+	if m.Full {
+		limits = lo.Filter(m.Limits, func(l pwfleet.LimitReport, _ int) bool { return l.AllCells })
+	}
 	for {
 		m.Loads = firstN(changed, maxLoads)
 		changed = changed[len(m.Loads):]
--- a/internal/node/pwpeering/peering_test.go
+++ b/internal/node/pwpeering/peering_test.go
@@ -208,8 +208,9 @@
 	})
 }
 
-// Guards against messages whose number grows with the fleet: recalled crashes go to the
-// processes of the own cell only, new ones to all. Neither crowds out the other.
+// Guards against messages whose number grows with the fleet: recalled crashes and limits
+// of engines go to the processes of the own cell only, new crashes and limits of plain
+// services to all. New crashes don't crowd out recalled ones.
 func TestRecalledCrashesStayInCell(t *testing.T) {
 	nodes := newNodes(3)
 	a, inCell, other := nodes[0], nodes[1], nodes[2]
@@ -234,6 +235,22 @@
 	if other.view.mergeCount != 0 {
 		t.Errorf("the other cell got %+v", other.view.merged)
 	}
+	a.fullSentAt = time.Time{}
+	a.view.limits = []pwfleet.LimitReport{
+		{
+			Server: 1,
+			Sends:  3,
+		},
+		{
+			Server:   2,
+			Sends:    4,
+			AllCells: true,
+		},
+	}
+	send(t, a, true, inCell, other)
+	if got, gotOther := inCell.view.merged["front-1"].Limits, other.view.merged["front-1"].Limits; len(got) != 2 || len(gotOther) != 1 || gotOther[0].Server != 2 {
+		t.Errorf("limits %+v, and for the other cell %+v", got, gotOther)
+	}
 	a.view.crashes = make([]Crash, 2*MaxCrashes)
 	send(t, a, true, inCell, other)
 	if got := inCell.view.merged["front-1"].Crashes; len(got) != MaxCrashes || got[MaxCrashes-1] != a.view.recalled[0] {
