Recall crashes of refused requests to restarted gateways

Cause: crashes of requests were told for 5 s only. A gateway that started later let a request that the others refuse crash two more servers. Change: the crashes of up to 64 refused requests are recalled to the cell, like those of quarantined parts. TestQuarantineSurvivesRestarts had given its new gateways no engines, so that nothing could be sent; it does now, and they must answer a sound request. Evidence: TestRefusedRequestStaysRefusedAfterRestart failed before with two crashed engines.

--- a/internal/core/pwquarantine/quarantine.go
+++ b/internal/core/pwquarantine/quarantine.go
@@ -207,6 +207,15 @@
 	}
 }
 
+// Crashes returns the active crashes of a fingerprint, oldest first.
+func (t *Tracker) Crashes(now time.Time, fingerprint uint64) []Crash {
+	r := t.records[fingerprint]
+	if r == nil {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(r.crashes), func(c Crash) bool { return !t.isActive(now, &c) })
+}
+
 // Refusal returns the error for a request that Decide refuses. Its RetryAfter is the
 // time until enough of the crashes have expired.
 func (t *Tracker) Refusal(now time.Time, fingerprint uint64) error {
--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -34,6 +35,8 @@
 	crashProbeDelay = 30 * time.Millisecond
 	// recalledCrashes is the number of older crashes in a message to peers.
 	recalledCrashes = 4
+	// maxRefused bounds the refused requests whose crashes are recalled.
+	maxRefused = 64
 	// maxPartNames bounds the identifiers of parts that are kept for the log.
 	maxPartNames = 4096
 )
@@ -50,6 +53,10 @@
 	parts    *pwculprit.Tracker
 	// recent holds the crashes of requests that are still sent to peers.
 	recent []recentCrash
+	// refused holds the fingerprints of the requests that are refused, oldest first, and
+	// recalled the number of crashes that recall has returned of them.
+	refused  []uint64
+	recalled int
 	// partNames holds the identifiers of the parts in this process's crashes, by hash.
 	partNames map[uint64]string
 	// stored holds the quarantined parts whose crashes the platform's store has.
@@ -172,6 +179,10 @@
 			At:      at,
 		}},
 	}})
+	if c.requests.Decide(now, crash.Fingerprint) == pwquarantine.Refused && !slices.Contains(c.refused, crash.Fingerprint) {
+		c.refused = append(c.refused, crash.Fingerprint)
+		c.refused = c.refused[max(0, len(c.refused)-maxRefused):]
+	}
 }
 
 // merge records what a peer reported.
@@ -257,13 +268,14 @@
 	return out
 }
 
-// recall returns some crashes of quarantined parts.
+// recall returns some crashes of refused requests and of quarantined parts, each time the
+// next ones in turn.
 func (c *crashTracker) recall() []pwpeering.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	var out []pwpeering.Crash
-	for _, crash := range c.parts.Recall(now, recalledCrashes) {
+	out := c.recallRequests(now, recalledCrashes/2)
+	for _, crash := range c.parts.Recall(now, recalledCrashes-len(out)) {
 		kind := pwpeering.CrashOfPart
 		if c.stored[crash.Part] {
 			kind = pwpeering.StoredPart
@@ -273,6 +285,33 @@
 	return out
 }
 
+// recallRequests returns up to n crashes of refused requests.
+func (c *crashTracker) recallRequests(now time.Time, n int) []pwpeering.Crash {
+	c.refused = slices.DeleteFunc(c.refused, func(fp uint64) bool { return c.requests.Decide(now, fp) != pwquarantine.Refused })
+	var all []pwpeering.Crash
+	for _, fp := range c.refused {
+		crashes := c.requests.Crashes(now, fp)
+		for _, crash := range crashes[:min(len(crashes), crashLimit)] {
+			attempt, err := strconv.ParseUint(string(crash.Attempt), 16, 64)
+			if err != nil {
+				continue
+			}
+			all = append(all, pwpeering.Crash{
+				Kind:        pwpeering.CrashOfRequest,
+				Fingerprint: fp,
+				Attempt:     attempt,
+				AgeMS:       ageMS(now, crash.At),
+			})
+		}
+	}
+	out := make([]pwpeering.Crash, 0, recalledCrashes)
+	for range min(n, len(all)) {
+		out = append(out, all[c.recalled%len(all)])
+		c.recalled++
+	}
+	return out
+}
+
 func ageMS(now, at time.Time) uint32 { return uint32(max(1, now.Sub(at).Milliseconds())) }
 
 func partRecord(now time.Time, kind pwpeering.CrashKind, crash pwculprit.Crash) pwpeering.Crash {
--- a/internal/node/pwgateway/limit_test.go
+++ b/internal/node/pwgateway/limit_test.go
@@ -49,15 +49,7 @@
 	for i := range engines {
 		id := fmt.Sprintf("model-%d", i)
 		backends[id] = newBackend(func(c net.Conn, r *http.Request) { s.answer(id, c, r) })
-		items = append(items, pwcontrol.Item[pwcatalog.BackendServer]{
-			Key: id,
-			Value: pwcatalog.BackendServer{
-				ID:         id,
-				Service:    "model",
-				Address:    id,
-				DataCentre: "hakata",
-			},
-		})
+		items = append(items, newEngineItem(id))
 	}
 	var processes []pwcell.Member
 	for i := range gateways {
--- a/internal/node/pwgateway/prompt_part_test.go
+++ b/internal/node/pwgateway/prompt_part_test.go
@@ -75,7 +75,22 @@
 	b.replies[0] = func(c net.Conn, r *http.Request) { s.answer(id, b, c, r) }
 	s.backends[id] = b
 	s.mu.Unlock()
-	s.applyServer(pwcontrol.Item[pwcatalog.BackendServer]{
+	s.applyServer(newEngineItem(id))
+}
+
+// addGateway gives a gateway the running engines.
+func (s *crashSite) addGateway(f *fixture) {
+	f.lookUp = s.backend
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.backends {
+		f.gateway.ApplyServers([]pwcontrol.Item[pwcatalog.BackendServer]{newEngineItem(id)}, time.Time{})
+	}
+}
+
+// newEngineItem returns the listed entry of an engine.
+func newEngineItem(id string) pwcontrol.Item[pwcatalog.BackendServer] {
+	return pwcontrol.Item[pwcatalog.BackendServer]{
 		Key: id,
 		Value: pwcatalog.BackendServer{
 			ID:         id,
@@ -83,7 +98,7 @@
 			Address:    id,
 			DataCentre: "hakata",
 		},
-	})
+	}
 }
 
 func (s *crashSite) applyServer(item pwcontrol.Item[pwcatalog.BackendServer]) {
--- a/internal/node/pwgateway/quarantine_test.go
+++ b/internal/node/pwgateway/quarantine_test.go
@@ -140,10 +140,13 @@
 			"peer":  fromPeer,
 			"store": fromStore,
 		} {
-			f.lookUp = s.backend
+			s.addGateway(f)
 			if s.reaches(f, 2000) {
 				t.Errorf("a gateway that learns of the part from the %s sends a request with it", name)
 			}
+			if !s.send(f, 2001, "shared0") {
+				t.Errorf("a gateway that learns of the part from the %s does not answer a request without it", name)
+			}
 		}
 		if puts := table.puts; puts > 2 {
 			t.Errorf("the row was written %d times", puts)
@@ -172,3 +175,37 @@
 		}
 	})
 }
+
+// Guards against a gateway that has restarted and sends a request that the others refuse,
+// because it crashed servers: each restarted gateway would let it crash two more.
+func TestRefusedRequestStaysRefusedAfterRestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCrashSite(t, 1, 12)
+		old := s.gateways[0]
+		// A prompt of one part has no part that other requests share.
+		sendAgain := func(f *fixture) (crashes int) {
+			before := len(s.crashes)
+			f.sendRequest(t.Context(), "/note/same", "X-Token-Counts", "1000,200", "X-Prompt-Prefix", crashingPart+":40")
+			time.Sleep(time.Second)
+			return len(s.crashes) - before
+		}
+		if n := sendAgain(old); n != 2 {
+			t.Fatalf("%d engines crashed, want 2", n)
+		}
+		if n := sendAgain(old); n != 0 {
+			t.Fatalf("%d engines crashed under a refused request", n)
+		}
+		time.Sleep(time.Minute)
+		restarted := newFixture(t, nil)
+		s.addGateway(restarted)
+		for range 10 {
+			time.Sleep(exchangeInterval)
+			restarted.gateway.MergePeer("front-0", pwpeering.Message{
+				Crashes: old.gateway.RecalledCrashes(),
+			})
+		}
+		if n := sendAgain(restarted); n != 0 {
+			t.Errorf("%d engines crashed under a request that others refuse", n)
+		}
+	})
+}
