Remember the clearance before a suspect's crashes

Cause: the clearance that doubles the crashes needed was looked up when the quarantine was computed, and clearances are kept for 30 to 60 s. Change: a suspect keeps the clearance that its crashes followed. The quarantine is only computed again while crashes settle.

--- a/internal/core/pwculprit/culprit.go
+++ b/internal/core/pwculprit/culprit.go
@@ -58,8 +58,8 @@
 	maxCleared = 16_384
 	// sendPeriod is how long a crash is sent to peers.
 	sendPeriod = 5 * time.Second
-	// evaluateInterval limits how often the quarantine is computed although nothing was
-	// recorded.
+	// evaluateInterval limits how often the quarantine is computed while crashes settle
+	// and nothing new is recorded.
 	evaluateInterval = 50 * time.Millisecond
 )
 
@@ -127,6 +127,8 @@
 	part    uint64
 	depth   uint8
 	crashes []observation
+	// clearedAt is the newest clearance before the crashes, or the zero time.
+	clearedAt time.Time
 }
 
 // refutation is a clearance that is sent to peers until a time.
@@ -159,8 +161,11 @@
 
 	quarantined map[uint64]bool
 	changes     []Change
+	// dirty is set when something was recorded since evaluatedAt. settledAt is when the
+	// newest crash counts.
 	dirty       bool
 	evaluatedAt time.Time
+	settledAt   time.Time
 	// recalled counts the records that Recall has returned.
 	recalled int
 }
@@ -219,10 +224,14 @@
 		return
 	}
 	t.dirty = true
+	if at := c.At.Add(t.cfg.SettleTime); at.After(t.settledAt) {
+		t.settledAt = at
+	}
 	s := t.suspects[c.Part]
 	if s == nil {
 		s = &suspect{
-			part: c.Part,
+			part:      c.Part,
+			clearedAt: t.clearedAt(c.Part),
 		}
 		t.suspects[c.Part] = s
 	}
@@ -310,6 +319,7 @@
 		return
 	}
 	t.dirty = true
+	s.clearedAt = at
 	s.crashes = slices.DeleteFunc(s.crashes, func(o observation) bool { return !o.at.After(at) })
 	if len(s.crashes) > 0 {
 		return
@@ -390,11 +400,12 @@
 	return out
 }
 
-// evaluate computes the quarantine if something was recorded, or if crashes may have
-// become old enough to count.
+// evaluate computes the quarantine if something was recorded, or if crashes have become
+// old enough to count.
 func (t *Tracker) evaluate(now time.Time) {
 	t.advance(now)
-	if !t.dirty && (len(t.suspects) == 0 || now.Sub(t.evaluatedAt) < evaluateInterval) {
+	settling := t.evaluatedAt.Before(t.settledAt) && now.Sub(t.evaluatedAt) >= evaluateInterval
+	if !t.dirty && !settling {
 		return
 	}
 	t.dirty, t.evaluatedAt = false, now
@@ -479,7 +490,7 @@
 
 // neededCrashes returns the number of crashes at which a suspect is quarantined.
 func (t *Tracker) neededCrashes(s *suspect) int {
-	if cleared := t.clearedAt(s.part); !cleared.IsZero() && s.crashes[0].at.Sub(cleared) < t.cfg.ClearanceTime {
+	if !s.clearedAt.IsZero() && s.crashes[0].at.Sub(s.clearedAt) < t.cfg.ClearanceTime {
 		return clearedFactor * t.cfg.MinCrashes
 	}
 	return t.cfg.MinCrashes
@@ -568,10 +579,10 @@
 // Evidence returns crashes that suffice for another process to quarantine a part. It
 // returns nil for a part that isn't quarantined.
 func (t *Tracker) Evidence(now time.Time, part uint64) []Crash {
-	if !t.quarantined[part] {
+	s := t.suspects[part]
+	if s == nil || !t.quarantined[part] {
 		return nil
 	}
-	s := t.suspects[part]
 	distinct := t.distinctCrashes(now, s, nil)
 	distinct = distinct[:min(len(distinct), clearedFactor*t.cfg.MinCrashes)]
 	out := make([]Crash, 0, len(distinct))
