Name the crash tracker's methods by what they do

Change: checkQuarantine, recordCrash and mergeReport; the parts that peers report as stored are bounded. No other change of logic.

--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -117,9 +117,9 @@
 	return xxhash.Sum64String(fmt.Sprintf("%s/%d", s.ID, s.StartUnixMS))
 }
 
-// check returns an error if a request must not run, or not run again, because it or a
-// part of its prompt crashes servers.
-func (c *crashTracker) check(x *exchange) error {
+// checkQuarantine returns an error if a request must not run, or not run again, because
+// it or a part of its prompt crashes servers.
+func (c *crashTracker) checkQuarantine(x *exchange) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -147,8 +147,8 @@
 	c.parts.RecordCompletion(time.Now(), hashIncarnation(server), parts)
 }
 
-// recordOwn records a crash that this process found itself.
-func (c *crashTracker) recordOwn(x *exchange, server pwcatalog.BackendServer) {
+// recordCrash records a crash that this process found itself.
+func (c *crashTracker) recordCrash(x *exchange, server pwcatalog.BackendServer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -185,8 +185,8 @@
 	}
 }
 
-// merge records what a peer reported.
-func (c *crashTracker) merge(crashes []pwpeering.Crash) {
+// mergeReport records what a peer reported.
+func (c *crashTracker) mergeReport(crashes []pwpeering.Crash) {
 	if len(crashes) == 0 {
 		return
 	}
@@ -201,7 +201,9 @@
 			c.mergeRequestCrash(now, crash, at)
 			continue
 		case pwpeering.StoredPart:
-			c.stored[crash.Fingerprint] = true
+			if len(c.stored) < maxStoredParts {
+				c.stored[crash.Fingerprint] = true
+			}
 		}
 		records = append(records, pwculprit.Record{
 			Crash: pwculprit.Crash{
@@ -356,7 +358,7 @@
 		conn.Close()
 		return
 	}
-	g.crashes.recordOwn(x, server)
+	g.crashes.recordCrash(x, server)
 	g.obs.LogEvent("crash_counted", x.logFields(
 		"backend_server", server.ID,
 		"backend_address", server.Address,
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -225,7 +225,7 @@
 	x.lastEventID = metadata.LastEventID
 	x.fingerprint = fingerprint(x.r.RequestURI, x.workspace, x.body)
 	x.sharedParts = sharedParts(metadata.PromptParts)
-	if err := x.g.crashes.check(x); err != nil {
+	if err := x.g.crashes.checkQuarantine(x); err != nil {
 		return &refusal{
 			error:  err,
 			status: http.StatusServiceUnavailable,
@@ -330,7 +330,7 @@
 		return false, errCallerLeft
 	}
 	// Servers may have crashed under the request or a part of its prompt since it arrived.
-	if err := x.g.crashes.check(x); err != nil {
+	if err := x.g.crashes.checkQuarantine(x); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/node/pwgateway/peers.go
+++ b/internal/node/pwgateway/peers.go
@@ -40,7 +40,7 @@
 
 // MergePeer implements pwpeering.View.
 func (g *Gateway) MergePeer(peer string, m pwpeering.Message) {
-	g.crashes.merge(m.Crashes)
+	g.crashes.mergeReport(m.Crashes)
 	g.dispatcher.mergePeer(peer, m)
 }
 
