--- a/internal/node/pwgateway/quarantine_test.go
+++ b/internal/node/pwgateway/quarantine_test.go
@@ -33,6 +33,19 @@
 	return errors.New("the store is down")
 }
 
+// state returns the number of rows and of writes.
+func (f *fakeQuarantineTable) state() (rows, puts int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.rows), f.puts
+}
+
+func (f *fakeQuarantineTable) setFailures(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failures = n
+}
+
 func (f *fakeQuarantineTable) List(context.Context) (pwcontrol.Snapshot[pwgateway.QuarantinedPart], error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -66,6 +79,12 @@
 	return nil
 }
 
+func (s *crashSite) crashCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.crashes)
+}
+
 // crashUntilRefused sends requests with crashingPart to the gateways in turn until one is
 // refused, and returns the number of crashes.
 func (s *crashSite) crashUntilRefused(t *testing.T) int {
@@ -74,10 +93,10 @@
 		s.send(s.gateways[n%len(s.gateways)], n, crashingPart)
 		time.Sleep(500 * time.Millisecond)
 		if !s.reaches(s.gateways[n%len(s.gateways)], 1000+n) {
-			return len(s.crashes)
+			return s.crashCount()
 		}
 	}
-	t.Fatalf("the part is not refused after %d crashes", len(s.crashes))
+	t.Fatalf("the part is not refused after %d crashes", s.crashCount())
 	return 0
 }
 
@@ -118,14 +137,14 @@
 			runKeeper(f)
 		}
 		time.Sleep(2 * time.Second)
-		if len(table.rows) != 0 {
-			t.Errorf("%d rows are left, the only one has expired", len(table.rows))
+		if rows, _ := table.state(); rows != 0 {
+			t.Errorf("%d rows are left, the only one has expired", rows)
 		}
-		table.failures = 1
+		table.setFailures(1)
 		s.crashUntilRefused(t)
 		time.Sleep(3 * time.Second)
-		if len(table.rows) != 1 || table.puts > 2 {
-			t.Errorf("%d rows after %d writes, want one", len(table.rows), table.puts)
+		if rows, puts := table.state(); rows != 1 || puts > 2 {
+			t.Errorf("%d rows after %d writes, want one", rows, puts)
 		}
 
 		fromPeer, fromStore := newFixture(t, nil), newFixture(t, nil)
@@ -148,7 +167,7 @@
 				t.Errorf("a gateway that learns of the part from the %s does not answer a request without it", name)
 			}
 		}
-		if puts := table.puts; puts > 2 {
+		if _, puts := table.state(); puts > 2 {
 			t.Errorf("the row was written %d times", puts)
 		}
 	})
@@ -184,10 +203,10 @@
 		old := s.gateways[0]
 		// A prompt of one part has no part that other requests share.
 		sendAgain := func(f *fixture) (crashes int) {
-			before := len(s.crashes)
+			before := s.crashCount()
 			f.sendRequest(t.Context(), "/note/same", "X-Token-Counts", "1000,200", "X-Prompt-Prefix", crashingPart+":40")
 			time.Sleep(time.Second)
-			return len(s.crashes) - before
+			return s.crashCount() - before
 		}
 		if n := sendAgain(old); n != 2 {
 			t.Fatalf("%d engines crashed, want 2", n)
--- a/internal/node/pwgateway/stream_end_test.go
+++ b/internal/node/pwgateway/stream_end_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 )
@@ -47,12 +48,13 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				resumedAfter := "complete"
-				reply := sendUnframed(tc.body)
+				var mu sync.Mutex
+				resumedAfter, sends := "complete", 0
 				serveOrResume := func(c net.Conn, r *http.Request) {
-					if reply != nil {
-						reply(c, r)
-						reply = nil
+					mu.Lock()
+					defer mu.Unlock()
+					if sends++; sends == 1 {
+						sendUnframed(tc.body)(c, r)
 						return
 					}
 					resumedAfter = r.Header.Get("Last-Event-Id")
@@ -67,6 +69,8 @@
 					"model-2": newBackend(serveOrResume),
 				})
 				w, aborted := f.sendRequest(t.Context(), "/note/1", "X-Token-Counts", "5000,500")
+				mu.Lock()
+				defer mu.Unlock()
 				if aborted || resumedAfter != tc.after {
 					t.Errorf("aborted %t, resumed after %q, want %q", aborted, resumedAfter, tc.after)
 				}
