--- a/internal/core/pwculprit/culprit.go
+++ b/internal/core/pwculprit/culprit.go
@@ -51,6 +51,9 @@
 	// clearedFactor multiplies Config.MinCrashes for a part that was cleared within
 	// Config.ClearanceTime before its crashes.
 	clearedFactor = 2
+	// minReported is the number of crashes from which peers are told of those of a part
+	// that was cleared shortly before.
+	minReported = 2
 	// maxCrashes bounds the crashes kept for one part, maxPending the completions that
 	// wait for Config.ClearanceDelay, maxCleared the cleared parts.
 	maxCrashes = 64
@@ -521,8 +524,7 @@
 		s, cleared := t.suspects[part], !t.clearedAt(part).IsZero()
 		for i := range s.crashes {
 			o := &s.crashes[i]
-			// A single crash says nothing about a part that was cleared shortly before.
-			if !o.own || now.Sub(o.at) >= sendPeriod || cleared && len(s.crashes) < clearedFactor {
+			if !o.own || now.Sub(o.at) >= sendPeriod || cleared && len(s.crashes) < minReported {
 				continue
 			}
 			list = append(list, outgoingRecord{
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -243,7 +243,7 @@
 		if iterationMS > f.cfg.ShortIterationMS || l.Requests >= maxRequests || s.failureScore >= 1 {
 			others = append(others, loadedServer{
 				server:      s,
-				iterationMS: iterationMS + 100*s.failureScore,
+				iterationMS: iterationMS + shortFailurePenaltyMS*s.failureScore,
 			})
 			continue
 		}
@@ -271,6 +271,10 @@
 	return f.newShortPlan(r, pool[i], prefillMS, reason), nil
 }
 
+// shortFailurePenaltyMS is the iteration time by which each point of an engine's failure
+// score worsens its place among the engines for a short prompt.
+const shortFailurePenaltyMS = 100.0
+
 // loadedServer is an engine with the iteration that it would have with one more short
 // prompt.
 type loadedServer struct {
--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -175,7 +175,7 @@
 	c.requests.Merge(now, []pwquarantine.FingerprintCrashes{{
 		Fingerprint: crash.Fingerprint,
 		Crashes: []pwquarantine.Crash{{
-			Attempt: formatAttemptID(crash.Attempt),
+			Attempt: pwrequest.AttemptID(formatHash(crash.Attempt)),
 			At:      at,
 		}},
 	}})
@@ -218,15 +218,8 @@
 	c.parts.Merge(now, records)
 }
 
-// formatAttemptID formats the number of an attempt as 16 hexadecimal digits.
-func formatAttemptID(n uint64) pwrequest.AttemptID {
-	const digits = "0123456789abcdef"
-	var b [16]byte
-	for i := range b {
-		b[15-i] = digits[n>>(4*i)&15]
-	}
-	return pwrequest.AttemptID(b[:])
-}
+// formatHash formats a hash as 16 hexadecimal digits.
+func formatHash(n uint64) string { return fmt.Sprintf("%016x", n) }
 
 // gossip returns what all peers are told. It also logs the changes of the quarantine,
 // because it is called regularly.
@@ -332,7 +325,7 @@
 	c.mu.Unlock()
 	f := log.Fields{
 		"part":      name,
-		"part_hash": formatAttemptID(change.Part),
+		"part_hash": formatHash(change.Part),
 	}
 	if !change.Quarantined {
 		c.obs.LogEvent("part_released", f)
@@ -364,7 +357,7 @@
 		"backend_address", server.Address,
 		"probe", err.Error(),
 		"events", events,
-		"fingerprint", formatAttemptID(x.fingerprint),
+		"fingerprint", formatHash(x.fingerprint),
 		"prompt_parts", strings.Join(x.metadata.PromptParts, ","),
 	))
 }
--- a/internal/node/pwgateway/quarantine.go
+++ b/internal/node/pwgateway/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"time"
@@ -187,7 +186,7 @@
 				AtMS:   time.Duration(crash.At.UnixNano() + int64(k.clockOffset)).Milliseconds(),
 			})
 		}
-		if err := k.table.Put(ctx, fmt.Sprintf("%016x", part), row); err != nil {
+		if err := k.table.Put(ctx, formatHash(part), row); err != nil {
 			return err
 		}
 		k.crashes.markStored(part)
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -142,7 +142,7 @@
 		if metadata.ID == s.x.metadata.ID || metadata.ID == "" && resp.StatusCode/100 != 2 {
 			return resp, metadata, nil
 		}
-		if metadata.ID == "" || stray == maxStrayResponses || !isFramed(resp) {
+		if metadata.ID == "" || stray == maxStrayResponses || !pwupstream.IsDelimited(resp) {
 			return nil, ResponseMetadata{}, pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseEngineFailed,
 				"the response belongs to request %q, not to %q", metadata.ID, s.x.metadata.ID)
 		}
@@ -160,8 +160,8 @@
 	}
 }
 
-// recordLimit records the limit that a response states, or that it states none. A
-// rejection without a limit may come from a proxy or another server.
+// recordLimit records the limit that a response states, or that a signed one states none.
+// Unsigned responses without a limit do not lift it.
 func (s *send) recordLimit(metadata ResponseMetadata) {
 	if metadata.Misdirected || !metadata.Limited && !metadata.Signed {
 		return
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
 )
 
 // maxEventBytes limits the size of one event of a stream, together with the blank lines
@@ -43,11 +44,6 @@
 // Nothing shows that its server had finished it.
 var errNoEvents = errors.New("the connection ended before the first event")
 
-// isFramed reports whether a response has a length or chunks, which show its end.
-func isFramed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-}
-
 // readEvent reads up to the blank line that ends an event. Blank lines and comments
 // before an event are returned with it. At the end of the stream it returns io.EOF and
 // the bytes that were left.
@@ -104,7 +100,7 @@
 	for {
 		ev, err := readEvent(br)
 		if errors.Is(err, io.EOF) && !ev.begun() {
-			if x.eventCount == 0 && !isFramed(resp) {
+			if x.eventCount == 0 && !pwupstream.IsDelimited(resp) {
 				return s.handleBrokenStream(errNoEvents)
 			}
 			return s.finishStream(resp, ev.raw)
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -4,9 +4,9 @@
 // A process tells the processes of its own cell, as pwcell divides them. A message holds
 // the servers whose load has changed since the last one; once in fullInterval it holds
 // all of them, which makes up for lost messages. Crashes of backend servers go to all
-// processes, because their requests come again anywhere. Sequence numbers identify
-// messages that arrive out of order. Messages of processes that are not listed are not
-// merged.
+// processes, because their requests come again anywhere, and so do limits that servers of
+// undivided services state. Sequence numbers identify messages that arrive out of order.
+// Messages of processes that are not listed are not merged.
 //
 // # Usage
 //
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -399,8 +399,7 @@
 		c.Close()
 		return
 	}
-	bodyDelimited := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if c.writeErr != nil || resp.Close || !bodyDelimited || c.br.Buffered() > 0 {
+	if c.writeErr != nil || resp.Close || !IsDelimited(resp) || c.br.Buffered() > 0 {
 		c.Close()
 		return
 	}
@@ -420,6 +419,12 @@
 	c.pool.pushIdle(c)
 }
 
+// IsDelimited reports whether a response has a length or chunks, which show its end. Other
+// responses end with their connection.
+func IsDelimited(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // awaitWrite reports whether the goroutine that writes the request has finished.
 // It waits briefly, because the response can arrive before that goroutine's last
 // write returns.
