Log the store's era, stale listings and ignored rows

Cause: a rejected listing and a row that counts as known left no line, and the Store-Era header was not read, so that the logs could not tell two hypotheses apart. No decision changes.

--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -14,6 +14,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -36,8 +38,39 @@
 	Err error
 }
 
+// Era numbers the histories of a store. When the store comes back from an older copy, it
+// loses the changes since that copy, gives out their versions again and begins a new era.
+// The zero value stands for a store that states no era.
+type Era struct {
+	number int64
+	stated bool
+}
+
+// NewEra returns the era with a number that the store has stated.
+func NewEra(number int64) Era {
+	return Era{
+		number: number,
+		stated: true,
+	}
+}
+
+// After reports whether e is a later era than other. It is false if either is not known.
+func (e Era) After(other Era) bool {
+	return e.stated && other.stated && e.number > other.number
+}
+
+func (e Era) String() string {
+	if !e.stated {
+		return "unknown"
+	}
+	return strconv.FormatInt(e.number, 10)
+}
+
 // Snapshot is the result of a List or Watch call.
 type Snapshot[T any] struct {
+	// Era is the era of the store in which it responded. Versions of different eras
+	// cannot be compared.
+	Era Era
 	// Version is the newest version in the store at the time of the response.
 	Version int64
 	// NowMS is the store's clock at the time of the response, in milliseconds.
@@ -80,6 +113,9 @@
 	DefaultOutageGrace = 2 * time.Second
 )
 
+// maxLoggedRows bounds the rows that a log line names.
+const maxLoggedRows = 10
+
 // Config configures a Follower. Zero fields take their defaults.
 type Config struct {
 	// Name is the table's name in log lines.
@@ -130,6 +166,10 @@
 	version int64
 	// hasListing is cleared when the table must be listed again.
 	hasListing bool
+	// era is the era of the last response.
+	era Era
+	// loggedStale is set while listings are rejected as stale.
+	loggedStale bool
 
 	inOutage bool
 	// probeCount counts the watch calls during an outage.
@@ -215,6 +255,7 @@
 		return err
 	}
 	f.recordContact()
+	f.recordEra(snap.Era)
 	f.applyNewer(snap.Items)
 	f.version = max(f.version, snap.Version)
 	if len(snap.Items) > 0 {
@@ -242,9 +283,17 @@
 	if err != nil {
 		return err
 	}
+	f.recordEra(snap.Era)
 	if snap.Version < f.version {
+		f.obs.Count("store_listings_stale", 1)
+		if !f.loggedStale {
+			f.loggedStale = true
+			f.obs.Info("stale listing rejected", "table", f.cfg.Name, "era", snap.Era.String(),
+				"version", strconv.FormatInt(snap.Version, 10), "known_version", strconv.FormatInt(f.version, 10))
+		}
 		return errStaleListing
 	}
+	f.loggedStale = false
 	f.recordContact()
 	present := make(map[string]bool, len(snap.Items))
 	for i := range snap.Items {
@@ -277,11 +326,24 @@
 	}
 }
 
+// recordEra logs a change of the store's era.
+func (f *Follower[T]) recordEra(era Era) {
+	if era == f.era {
+		return
+	}
+	f.obs.Info("store era", "table", f.cfg.Name, "era", era.String(), "known_era", f.era.String(),
+		"known_version", strconv.FormatInt(f.version, 10))
+	f.era = era
+}
+
 // applyNewer passes on the items that are newer than the last known versions.
 func (f *Follower[T]) applyNewer(items []Item[T]) {
 	newer := items[:0:0]
+	var known []string
 	for _, it := range items {
 		if it.Version < f.versions[it.Key] || it.Version == f.versions[it.Key] && f.liveKeys[it.Key] != it.Removed {
+			f.obs.Count("store_rows_known", 1)
+			known = append(known, it.Key+"@"+strconv.FormatInt(it.Version, 10))
 			continue
 		}
 		f.versions[it.Key] = it.Version
@@ -295,6 +357,10 @@
 		}
 		newer = append(newer, it)
 	}
+	if len(known) > 0 {
+		f.obs.Info("known rows ignored", "table", f.cfg.Name, "count", strconv.Itoa(len(known)),
+			"first", strings.Join(known[:min(len(known), maxLoggedRows)], " "))
+	}
 	if len(newer) > 0 {
 		f.apply(newer, f.graceUntil)
 	}
