Do not compare row versions of different eras of the store

Cause: the follower of a table kept the newest version that it had seen and took a listing with a lower one for a stale answer, until the store that came back from an older copy had given out as many versions again. Then rows with such a version counted as known, and a watch from a version that the store had passed again missed what was written before it. Class: a memory of what is newest that cannot tell a store that began anew from one that is behind.

A later era forgets the versions and lists the table anew; an earlier one is a late answer and is not used. Rows that the copy lacks are passed on as removed only if they are still missing 2 s later, since their writers write them again; rows of that listing are marked as restored.

--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -1,7 +1,12 @@
 // Package pwcontrol follows tables of the platform's store, such as the rows that
 // operators write and the list of backend servers. A Follower tolerates outages,
-// compacted history and stale responses of the store: it never passes on a version
-// of a row that is older than one it has already passed on.
+// compacted history and stale responses of the store: within an era of the store it
+// never passes on a version of a row that is older than one it has already passed on.
+//
+// When the store comes back from an older copy, which begins a new era, the follower
+// lists the table anew and passes on all rows. Their writers write lost changes again,
+// so a known row that the copy lacks is passed on as removed only if it is still missing
+// after Config.OutageGrace.
 //
 // # Usage
 //
@@ -33,7 +38,10 @@
 	Key     string
 	Version int64
 	Removed bool
-	Value   T
+	// Restored is set for a row of the first listing after the store has come back from
+	// an older copy. The row may be older than what was passed on before.
+	Restored bool
+	Value    T
 	// Err is set when the row could not be decoded.
 	Err error
 }
@@ -109,7 +117,7 @@
 	DefaultMinBackoff = 50 * time.Millisecond
 	DefaultMaxBackoff = 800 * time.Millisecond
 	// DefaultOutageGrace is how long after an outage of the store the owners of rows
-	// that expired during the outage have to write them again.
+	// that expired or were lost during the outage have to write them again.
 	DefaultOutageGrace = 2 * time.Second
 )
 
@@ -127,6 +135,9 @@
 	MinBackoff  time.Duration
 	MaxBackoff  time.Duration
 	OutageGrace time.Duration
+	// OnRestore is called when the store has come back from an older copy, which may lack
+	// what this process wrote. It must not block; nil stands for no call.
+	OnRestore func()
 }
 
 func (cfg Config) withDefaults() Config {
@@ -166,8 +177,13 @@
 	version int64
 	// hasListing is cleared when the table must be listed again.
 	hasListing bool
-	// era is the era of the last response.
+	// era is the latest era that the store has stated.
 	era Era
+	// awaitsRestored is set from the beginning of an era until the table has been listed.
+	awaitsRestored bool
+	// unconfirmed holds the keys of the rows that the listing of a restored store lacked,
+	// with the times from which they count as removed.
+	unconfirmed map[string]time.Time
 	// loggedStale is set while listings are rejected as stale.
 	loggedStale bool
 
@@ -192,6 +208,8 @@
 		startTime: time.Now(),
 		versions:  make(map[string]int64),
 		liveKeys:  make(map[string]bool),
+
+		unconfirmed: make(map[string]time.Time),
 	}
 }
 
@@ -243,7 +261,11 @@
 	if !f.hasListing {
 		return f.list(ctx)
 	}
-	wait, timeout := f.cfg.Wait, f.cfg.Wait+f.cfg.WaitMargin
+	wait := f.cfg.Wait
+	for _, until := range f.unconfirmed {
+		wait = max(0, min(wait, time.Until(until)))
+	}
+	timeout := wait + f.cfg.WaitMargin
 	if f.inOutage {
 		wait, timeout = 0, probeTimeouts[f.probeCount%len(probeTimeouts)]
 		f.probeCount++
@@ -254,10 +276,17 @@
 	if err != nil {
 		return err
 	}
+	restored, err := f.checkEra(snap.Era)
+	if err != nil {
+		return err
+	}
 	f.recordContact()
-	f.recordEra(snap.Era)
+	if restored {
+		return nil
+	}
 	f.applyNewer(snap.Items)
 	f.version = max(f.version, snap.Version)
+	f.removeUnconfirmed()
 	if len(snap.Items) > 0 {
 		sleep(ctx, f.cfg.BatchDelay)
 	}
@@ -283,7 +312,9 @@
 	if err != nil {
 		return err
 	}
-	f.recordEra(snap.Era)
+	if _, err := f.checkEra(snap.Era); err != nil {
+		return err
+	}
 	if snap.Version < f.version {
 		f.obs.Count("store_listings_stale", 1)
 		if !f.loggedStale {
@@ -298,10 +329,15 @@
 	present := make(map[string]bool, len(snap.Items))
 	for i := range snap.Items {
 		present[snap.Items[i].Key] = true
+		snap.Items[i].Restored = f.awaitsRestored
 	}
 	items := snap.Items
 	for key := range f.liveKeys {
-		if !present[key] && f.versions[key] <= snap.Version {
+		switch _, isUnconfirmed := f.unconfirmed[key]; {
+		case present[key] || f.versions[key] > snap.Version:
+		case f.awaitsRestored:
+			f.unconfirmed[key] = time.Now().Add(f.cfg.OutageGrace)
+		case !isUnconfirmed:
 			items = append(items, Item[T]{
 				Key:     key,
 				Version: snap.Version,
@@ -311,7 +347,7 @@
 	}
 	f.applyNewer(items)
 	f.version = snap.Version
-	f.hasListing = true
+	f.hasListing, f.awaitsRestored = true, false
 	return nil
 }
 
@@ -322,18 +358,54 @@
 	if f.inOutage {
 		f.inOutage, f.probeCount = false, 0
 		f.graceUntil = now.Add(f.cfg.OutageGrace)
+		for key := range f.unconfirmed {
+			f.unconfirmed[key] = f.graceUntil
+		}
 		f.obs.Info("store is back", "table", f.cfg.Name)
 	}
 }
 
-// recordEra logs a change of the store's era.
-func (f *Follower[T]) recordEra(era Era) {
-	if era == f.era {
-		return
+// errEarlierEra is returned for a response of an era before that of an earlier response.
+var errEarlierEra = errors.New("the store responded from an earlier era")
+
+// checkEra reports whether a response shows that the store has come back from an older
+// copy. The table must then be listed again. It returns an error for a response from
+// before the last such return.
+func (f *Follower[T]) checkEra(era Era) (restored bool, err error) {
+	if f.era.After(era) {
+		return false, errEarlierEra
+	}
+	if restored = era.After(f.era); restored {
+		f.obs.Info("store restored", "table", f.cfg.Name, "era", era.String(), "known_era", f.era.String(),
+			"known_version", strconv.FormatInt(f.version, 10))
+		f.obs.Count("store_restores", 1)
+		clear(f.versions)
+		f.version, f.hasListing, f.awaitsRestored = 0, false, true
+		if f.cfg.OnRestore != nil {
+			f.cfg.OnRestore()
+		}
+	}
+	if era.stated {
+		f.era = era
+	}
+	return restored, nil
+}
+
+// removeUnconfirmed passes on the removal of the rows that nobody has written again since
+// the store came back from an older copy.
+func (f *Follower[T]) removeUnconfirmed() {
+	now := time.Now()
+	var items []Item[T]
+	for key, until := range f.unconfirmed {
+		if !now.Before(until) {
+			items = append(items, Item[T]{
+				Key:     key,
+				Version: f.version,
+				Removed: true,
+			})
+		}
 	}
-	f.obs.Info("store era", "table", f.cfg.Name, "era", era.String(), "known_era", f.era.String(),
-		"known_version", strconv.FormatInt(f.version, 10))
-	f.era = era
+	f.applyNewer(items)
 }
 
 // applyNewer passes on the items that are newer than the last known versions.
@@ -347,6 +419,7 @@
 			continue
 		}
 		f.versions[it.Key] = it.Version
+		delete(f.unconfirmed, it.Key)
 		if it.Removed {
 			delete(f.liveKeys, it.Key)
 		} else {
