Register processes again after a restore of the store

A gateway that had registered after the copy was made stayed unlisted for up to 30 s: the others dropped it and its messages, so that they no longer knew its load, and its cells differed from theirs. Cause: what this process had written counted as kept for good. Change: a later era makes the directory write its row and read the list again at short intervals; processes that the copy lacks are kept for 10 s, and the newer of two rows counts. Followers tell the directory of a restore.

Measured: TestProcessesRegisterAgainAfterRestore failed before (the list lacked c) and passes.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -162,6 +162,7 @@
 		Name:       "operator",
 		Wait:       watchWait(d.Bounds),
 		BatchDelay: d.Bounds.ApplyTimeout / operatorBatchDivisor,
+		OnRestore:  func() { p.directory.Refresh() },
 	}, p.obs, p.applyOperator)
 	p.serverFollower = pwcontrol.NewFollower(platform.NewServerTable(client), pwcontrol.Config{
 		Name:       "servers",
--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -67,6 +67,14 @@
 	return e.stated && other.stated && e.number > other.number
 }
 
+// Or returns e if it is known, and other if not.
+func (e Era) Or(other Era) Era {
+	if e.stated {
+		return e
+	}
+	return other
+}
+
 func (e Era) String() string {
 	if !e.stated {
 		return "unknown"
@@ -365,15 +373,15 @@
 	}
 }
 
-// errEarlierEra is returned for a response of an era before that of an earlier response.
-var errEarlierEra = errors.New("the store responded from an earlier era")
+// ErrEarlierEra is the error for a response of an era before that of an earlier response.
+var ErrEarlierEra = errors.New("the store responded from an earlier era")
 
 // checkEra reports whether a response shows that the store has come back from an older
 // copy. The table must then be listed again. It returns an error for a response from
 // before the last such return.
 func (f *Follower[T]) checkEra(era Era) (restored bool, err error) {
 	if f.era.After(era) {
-		return false, errEarlierEra
+		return false, ErrEarlierEra
 	}
 	if restored = era.After(f.era); restored {
 		f.obs.Info("store restored", "table", f.cfg.Name, "era", era.String(), "known_era", f.era.String(),
@@ -385,9 +393,7 @@
 			f.cfg.OnRestore()
 		}
 	}
-	if era.stated {
-		f.era = era
-	}
+	f.era = era.Or(f.era)
 	return restored, nil
 }
 
--- a/internal/node/pwpeering/directory.go
+++ b/internal/node/pwpeering/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
@@ -22,6 +23,9 @@
 	minRetryDelay  = 300 * time.Millisecond
 	maxRetryDelay  = time.Second
 	refreshTimeout = 2 * time.Second
+	// restoreGrace is how long after the store has come back from an older copy processes
+	// are kept that the copy lacks. They register again within it.
+	restoreGrace = 10 * time.Second
 	// minRefreshInterval limits the readings that Refresh triggers.
 	minRefreshInterval = 2 * time.Second
 )
@@ -51,6 +55,14 @@
 	registeredAt time.Time
 	// inOutage is set while calls to the store fail.
 	inOutage bool
+	// era is the latest era that the store has stated.
+	era pwcontrol.Era
+	// listed holds the processes of the last list. Until keepUntil they are kept although
+	// the store doesn't list them.
+	listed    map[pwrequest.InstanceID]pwinstance.Instance
+	keepUntil time.Time
+	// shortDelays are the delays before the next readings.
+	shortDelays []time.Duration
 }
 
 // NewDirectory returns a directory that registers self. onList is called with the
@@ -62,6 +74,9 @@
 		onList:     onList,
 		obs:        obs,
 		refreshNow: make(chan struct{}, 1),
+		listed:     make(map[pwrequest.InstanceID]pwinstance.Instance),
+		// Processes that start together write their rows after the first reading.
+		shortDelays: initialReadDelays,
 	}
 }
 
@@ -77,16 +92,14 @@
 // Run renews the row of this process and reads the list of processes until ctx is
 // cancelled.
 func (d *Directory) Run(ctx context.Context) {
-	// Processes that start together write their rows after the first reading, so the
-	// first delays are short.
-	initialDelays := initialReadDelays
 	retryDelay := minRetryDelay
 	for ctx.Err() == nil {
+		err := d.refresh(ctx)
 		delay := readInterval
-		if len(initialDelays) > 0 {
-			delay, initialDelays = initialDelays[0], initialDelays[1:]
+		if len(d.shortDelays) > 0 {
+			delay, d.shortDelays = d.shortDelays[0], d.shortDelays[1:]
 		}
-		switch err := d.refresh(ctx); {
+		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil && d.inOutage:
@@ -131,6 +144,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.checkEra(snap.Era); err != nil {
+		return err
+	}
 	current := make([]pwinstance.Instance, 0, len(snap.Items))
 	registered := false
 	for _, it := range snap.Items {
@@ -149,6 +165,7 @@
 			d.obs.Warn("removing the expired row of a process failed", err, "instance_removed", it.Key)
 		}
 	}
+	current = d.keepLost(current)
 	if d.onList != nil {
 		d.onList(current)
 	}
@@ -164,6 +181,44 @@
 	return nil
 }
 
+// checkEra makes this process register again if the store has come back from an older
+// copy. It returns an error for a response from before that.
+func (d *Directory) checkEra(era pwcontrol.Era) error {
+	if d.era.After(era) {
+		return pwcontrol.ErrEarlierEra
+	}
+	if era.After(d.era) {
+		d.obs.Info("list of processes restored", "era", era.String(), "known_era", d.era.String())
+		d.registeredAt = time.Time{}
+		d.keepUntil = time.Now().Add(restoreGrace)
+		d.shortDelays = initialReadDelays
+	}
+	d.era = era.Or(d.era)
+	return nil
+}
+
+// keepLost adds the processes that a restored store lacks to the listed ones, until they
+// have had the time to register again. Of two rows of a process it keeps the newer one.
+func (d *Directory) keepLost(current []pwinstance.Instance) []pwinstance.Instance {
+	lost := d.listed
+	d.listed = make(map[pwrequest.InstanceID]pwinstance.Instance, len(current))
+	keep := time.Now().Before(d.keepUntil)
+	for n, i := range current {
+		if known, ok := lost[i.ID]; keep && ok && known.LastSeenMS > i.LastSeenMS {
+			current[n] = known
+		}
+		delete(lost, i.ID)
+		d.listed[i.ID] = current[n]
+	}
+	if keep {
+		for id, i := range lost {
+			current = append(current, i)
+			d.listed[id] = i
+		}
+	}
+	return current
+}
+
 // isExpired reports whether the row of a process is older than rowRetention.
 func isExpired(nowMS int64, i pwinstance.Instance) bool {
 	return nowMS-i.LastSeenMS > rowRetention.Milliseconds()
--- a/internal/node/pwpeering/directory_test.go
+++ b/internal/node/pwpeering/directory_test.go
@@ -22,6 +22,7 @@
 	version int64
 	down    bool
 	calls   int
+	era     int64
 }
 
 var errDown = errors.New("down")
@@ -32,6 +33,7 @@
 		return pwcontrol.Snapshot[pwinstance.Instance]{}, errDown
 	}
 	return pwcontrol.Snapshot[pwinstance.Instance]{
+		Era:   pwcontrol.NewEra(r.era),
 		NowMS: time.Since(r.start).Milliseconds(),
 		Items: slices.Collect(maps.Values(r.items)),
 	}, nil
@@ -176,6 +178,98 @@
 	})
 }
 
+// Guards against processes that are no longer listed, or listed at an address that they had
+// before, after the store has come back from a copy made before they registered.
+func TestProcessesRegisterAgainAfterRestore(t *testing.T) {
+	// bound is the time after which what depends on the store must work again.
+	const bound = 3 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeTable{
+			start: time.Now(),
+			items: make(map[string]pwcontrol.Item[pwinstance.Instance]),
+		}
+		var mu sync.Mutex
+		locked := &lockedTable{
+			mu:    &mu,
+			Table: table,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		listed := make(map[string][]string)
+		var directories []*Directory
+		var ends []chan struct{}
+		start := func(name string) {
+			d := NewDirectory(locked, pwinstance.Instance{
+				ID:      pwrequest.InstanceID(name),
+				Address: name + ":2",
+			}, func(list []pwinstance.Instance) {
+				mu.Lock()
+				defer mu.Unlock()
+				listed[name] = nil
+				for _, i := range list {
+					listed[name] = append(listed[name], i.Address)
+				}
+				slices.Sort(listed[name])
+			}, pwobserve.Discard())
+			done := make(chan struct{})
+			directories, ends = append(directories, d), append(ends, done)
+			go func() {
+				defer close(done)
+				d.Run(ctx)
+			}()
+		}
+		start("a")
+		time.Sleep(time.Minute)
+		mu.Lock()
+		copied := maps.Clone(table.items)
+		copied["b"] = pwcontrol.Item[pwinstance.Instance]{
+			Key:     "b",
+			Version: 1,
+			Value: pwinstance.Instance{
+				ID:         "b",
+				Address:    "b:1",
+				LastSeenMS: time.Since(table.start).Milliseconds(),
+			},
+		}
+		mu.Unlock()
+		start("b")
+		start("c")
+		time.Sleep(time.Minute)
+		mu.Lock()
+		table.items = copied
+		table.era++
+		mu.Unlock()
+		for _, d := range directories {
+			d.Refresh()
+		}
+		want := []string{"a:2", "b:2", "c:2"}
+		for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			mu.Lock()
+			for name, list := range listed {
+				if !slices.Contains(list, "c:2") || !slices.Contains(list, "a:2") {
+					t.Fatalf("%s has the list %v after the restore, want a and c in it", name, list)
+				}
+			}
+			mu.Unlock()
+		}
+		time.Sleep(readInterval)
+		mu.Lock()
+		for name, list := range listed {
+			if !slices.Equal(list, want) {
+				t.Errorf("%s has the list %v, want %v", name, list, want)
+			}
+		}
+		rows := len(table.items)
+		mu.Unlock()
+		if rows != 3 {
+			t.Errorf("%d rows after the restore, want 3", rows)
+		}
+		cancel()
+		for _, done := range ends {
+			<-done
+		}
+	})
+}
+
 // lockedTable is a table that several processes can use concurrently. List takes some
 // time, so that all processes read before any of them writes.
 type lockedTable struct {
