Store quarantined parts again after a restore of the store

Parts of prompts that crash servers are kept in the store for gateways that start when no other runs; once written, a row counted as stored for good. Change: a restore makes the keeper list the table and write what it lacks. What peers tell of stored parts does not count then, because they may not know of the restore yet.

Measured: TestQuarantineIsStoredAgainAfterRestoreOfStore fails without the recheck (no row after the restore) and passes with it.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -158,18 +158,21 @@
 		Fleet:      p.tuning.fleet(),
 		Policy:     p.tuning.policy(),
 	}, p.obs)
+	quarantine := pwgateway.NewQuarantineKeeper(p.gateway, platform.NewQuarantineTable(client))
 	p.operatorFollower = pwcontrol.NewFollower(platform.NewOperatorTable(client), pwcontrol.Config{
 		Name:       "operator",
 		Wait:       watchWait(d.Bounds),
 		BatchDelay: d.Bounds.ApplyTimeout / operatorBatchDivisor,
-		OnRestore:  func() { p.directory.Refresh() },
+		OnRestore: func() {
+			p.directory.Refresh()
+			quarantine.Recheck()
+		},
 	}, p.obs, p.applyOperator)
 	p.serverFollower = pwcontrol.NewFollower(platform.NewServerTable(client), pwcontrol.Config{
 		Name:       "servers",
 		Wait:       watchWait(d.Bounds),
 		BatchDelay: d.Bounds.DrainTimeout / serverBatchDivisor,
 	}, p.obs, p.gateway.ApplyServers)
-	quarantine := pwgateway.NewQuarantineKeeper(p.gateway, platform.NewQuarantineTable(client))
 	p.gateway.SetStoreContact(p.operatorFollower.LastContact)
 	var err error
 	p.exchange, err = pwpeering.New(pwpeering.Config{
--- a/internal/node/pwgateway/quarantine.go
+++ b/internal/node/pwgateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -57,6 +58,8 @@
 	crashes *crashTracker
 	obs     *pwobserve.Observer
 	wake    chan struct{}
+	// recheck is set if the store may have lost rows that count as stored.
+	recheck atomic.Bool
 	// clockOffset is what to add to the Unix time of this process to get the store's.
 	clockOffset time.Duration
 }
@@ -70,18 +73,30 @@
 		obs:     g.obs,
 		wake:    make(chan struct{}, 1),
 	}
-	g.crashes.onQuarantine = func() {
-		select {
-		case k.wake <- struct{}{}:
-		default:
-		}
-	}
+	g.crashes.onQuarantine = k.wakeRun
 	return k
 }
 
+func (k *QuarantineKeeper) wakeRun() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Recheck makes the keeper read the table again and write the rows that it lacks, because
+// the store has come back from an older copy. It does not block.
+func (k *QuarantineKeeper) Recheck() {
+	k.recheck.Store(true)
+	k.wakeRun()
+}
+
 // Run restores and stores quarantined parts until ctx is done.
 func (k *QuarantineKeeper) Run(ctx context.Context) {
-	k.retry(ctx, "reading the quarantined parts failed", k.restore)
+	k.retry(ctx, "reading the quarantined parts failed", func(ctx context.Context) error {
+		_, err := k.restore(ctx)
+		return err
+	})
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -89,7 +104,11 @@
 		case <-k.wake:
 		}
 		sleepContext(ctx, time.Duration(rand.Float64()*float64(maxStoreDelay)))
-		k.retry(ctx, "storing the quarantined parts failed", k.store)
+		store := k.storeNew
+		if k.recheck.Swap(false) {
+			store = k.storeMissing
+		}
+		k.retry(ctx, "storing the quarantined parts failed", store)
 	}
 }
 
@@ -119,12 +138,14 @@
 	}
 }
 
-// restore merges the stored parts and removes the rows whose crashes have all expired.
-func (k *QuarantineKeeper) restore(ctx context.Context) error {
+// restore merges the stored parts and removes the rows whose crashes have all expired. It
+// returns the parts that the store has.
+func (k *QuarantineKeeper) restore(ctx context.Context) (map[uint64]bool, error) {
 	snap, err := k.table.List(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
+	stored := make(map[uint64]bool)
 	k.clockOffset = time.Duration(snap.NowMS)*time.Millisecond - time.Duration(time.Now().UnixNano())
 	restored := 0
 	for _, it := range snap.Items[:min(len(snap.Items), maxStoredParts)] {
@@ -134,6 +155,7 @@
 		}
 		if k.crashes.restore(part, it.Value, snap.NowMS) {
 			restored++
+			stored[part] = true
 			continue
 		}
 		if err := k.table.Remove(ctx, it.Key, it.Version); err != nil {
@@ -145,7 +167,7 @@
 			"parts": restored,
 		})
 	}
-	return nil
+	return stored, nil
 }
 
 // restore merges the crashes of a stored part. It returns false if all have expired.
@@ -175,9 +197,24 @@
 	return len(records) > 0
 }
 
-// store writes the rows of the quarantined parts that are not known to be stored.
-func (k *QuarantineKeeper) store(ctx context.Context) error {
-	for part, crashes := range k.crashes.takeUnstored() {
+// storeNew writes the rows of the quarantined parts that are not known to be stored.
+func (k *QuarantineKeeper) storeNew(ctx context.Context) error {
+	return k.store(ctx, k.crashes.quarantinedParts(k.crashes.isStored))
+}
+
+// storeMissing writes the rows of the quarantined parts that the table lacks. What peers
+// tell of stored parts does not count, because it may be older than the table.
+func (k *QuarantineKeeper) storeMissing(ctx context.Context) error {
+	stored, err := k.restore(ctx)
+	if err != nil {
+		return err
+	}
+	return k.store(ctx, k.crashes.quarantinedParts(func(part uint64) bool { return stored[part] }))
+}
+
+// store writes the rows of parts with these crashes.
+func (k *QuarantineKeeper) store(ctx context.Context, parts map[uint64][]pwculprit.Crash) error {
+	for part, crashes := range parts {
 		var row QuarantinedPart
 		for _, crash := range crashes {
 			row.Crashes = append(row.Crashes, QuarantinedCrash{
@@ -194,20 +231,24 @@
 	return nil
 }
 
-// takeUnstored returns the crashes of the quarantined parts that the store doesn't have.
-func (c *crashTracker) takeUnstored() map[uint64][]pwculprit.Crash {
+// quarantinedParts returns the crashes of the quarantined parts, without those that skip
+// reports true for, which is called with the tracker locked.
+func (c *crashTracker) quarantinedParts(skip func(part uint64) bool) map[uint64][]pwculprit.Crash {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	out := make(map[uint64][]pwculprit.Crash)
 	for _, part := range c.parts.QuarantinedParts(now) {
-		if !c.stored[part] {
+		if !skip(part) {
 			out[part] = c.parts.Evidence(now, part)
 		}
 	}
 	return out
 }
 
+// isStored reports whether the store is known to have a part. The caller holds c.mu.
+func (c *crashTracker) isStored(part uint64) bool { return c.stored[part] }
+
 func (c *crashTracker) markStored(part uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/pwgateway/quarantine_test.go
+++ b/internal/node/pwgateway/quarantine_test.go
@@ -173,6 +173,46 @@
 	})
 }
 
+// Guards against a quarantined part that the store has lost, so that gateways that start
+// when all others have ended let it crash servers again.
+func TestQuarantineIsStoredAgainAfterRestoreOfStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := &fakeQuarantineTable{
+			rows: make(map[string]pwgateway.QuarantinedPart),
+		}
+		s := newCrashSite(t, 2, 12)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.runExchange(ctx)
+		var keepers []*pwgateway.QuarantineKeeper
+		for _, f := range s.gateways {
+			k := pwgateway.NewQuarantineKeeper(f.gateway, table)
+			keepers = append(keepers, k)
+			go k.Run(ctx)
+		}
+		s.crashUntilRefused(t)
+		time.Sleep(3 * time.Second)
+		table.mu.Lock()
+		clear(table.rows)
+		table.mu.Unlock()
+		for _, k := range keepers {
+			// The gateways learn of the restore one after the other.
+			k.Recheck()
+			time.Sleep(1500 * time.Millisecond)
+		}
+		if rows, _ := table.state(); rows != 1 {
+			t.Fatalf("%d rows after the restore, want one", rows)
+		}
+		started := newFixture(t, nil)
+		s.addGateway(started)
+		go pwgateway.NewQuarantineKeeper(started.gateway, table).Run(ctx)
+		time.Sleep(time.Second)
+		if s.reaches(started, 2000) {
+			t.Error("a gateway that starts after the restore sends a request with the part")
+		}
+	})
+}
+
 // Guards against requests with the part that were queued, or whose server crashed, when
 // it was quarantined: they are not sent again.
 func TestQuarantineStopsRetries(t *testing.T) {
