Let the soak restore the store from older copies

Cause: no fault of the soak made the store lose what it had acknowledged. Change: the fake store can be copied and restored in a new era; its writers write the lost rows again. The soak also checks after all faults that each process serves the newest configuration's own route.

--- a/internal/fake/pwfakeplatform/store.go
+++ b/internal/fake/pwfakeplatform/store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -67,6 +68,7 @@
 	compactedVersion int64         // the feed can't start before this version
 	changeSignal     chan struct{} // closed and replaced at each change of a row
 	fault            StoreFault
+	era              int64 // how often the store has come back from an older copy
 	// clockOffset is added to the time of this process in each response.
 	clockOffset time.Duration
 }
@@ -115,6 +117,53 @@
 	s.compactedVersion = s.version
 }
 
+// StoreCopy is a copy of the rows of a Store, without those of the state table.
+type StoreCopy struct {
+	rows    map[string]*row
+	version int64
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{
+		rows:    maps.Clone(s.rows),
+		version: s.version,
+	}
+}
+
+// Restore brings the store back from a copy. It loses later changes, gives out their
+// versions again, and states the next era. Restore returns a copy of the lost state.
+func (s *Store) Restore(c StoreCopy) (lost StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost = StoreCopy{
+		rows:    s.rows,
+		version: s.version,
+	}
+	s.rows, s.version = maps.Clone(c.rows), c.version
+	s.compactedVersion = min(s.compactedVersion, s.version)
+	s.era++
+	close(s.changeSignal)
+	s.changeSignal = make(chan struct{})
+	return lost
+}
+
+// WriteAgain writes the lost rows of a table again, as their writers do, unless they have
+// changed since the store came back from the copy.
+func (s *Store) WriteAgain(table string, lost, restoredFrom StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, r := range lost.rows {
+		if r.Table != table || s.rows[key] != restoredFrom.rows[key] || r == restoredFrom.rows[key] {
+			continue
+		}
+		again := *r
+		s.putRow(&again)
+	}
+}
+
 // Put writes a row of a table other than the state table. A nil value removes the
 // row.
 func (s *Store) Put(table, key string, value any) {
@@ -160,6 +209,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	fault := s.fault
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
 	s.mu.Unlock()
 	switch fault {
 	case StoreFaultBusy:
@@ -356,10 +406,17 @@
 		return
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		rows, version, compacted, changed := s.rowsAfter(r.FormValue("table"), after, true), s.version, after < s.compactedVersion, s.changeSignal
+		rows, version, changed := s.rowsAfter(r.FormValue("table"), after, true), s.version, s.changeSignal
+		compacted, restored := after < s.compactedVersion || after > s.version, s.era != era
 		s.mu.Unlock()
+		if restored {
+			panic(http.ErrAbortHandler)
+		}
 		switch {
 		case compacted:
 			w.WriteHeader(http.StatusGone)
--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -436,9 +436,10 @@
 }
 
 // configuration returns the operator's configuration: a resumable streaming route to
-// the first service, and an unsafe and a safe route to the second.
+// the first service, and an unsafe and a safe route to the second. A further route is
+// only in this version.
 func configuration(version int64, services []string) json.RawMessage {
-	routes := make([]map[string]any, 0, 3)
+	routes := make([]map[string]any, 0, 4)
 	addRoute := func(prefix, kind, service string, timeout int, extra map[string]any) {
 		r := map[string]any{
 			"name": prefix, "host": "soak.example", "prefix": "/" + prefix + "/", "kind": kind, "service": service,
@@ -452,6 +453,7 @@
 	addRoute("note", "streaming", services[0], 8000, map[string]any{"resumable": true, "target-gap-ms": 250})
 	addRoute("book", "unsafe", services[1], 3000, nil)
 	addRoute("view", "safe", services[1], 3000, nil)
+	addRoute(versionRoute(version), "safe", services[1], 3000, nil)
 	raw, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes":  routes,
@@ -469,3 +471,6 @@
 	}
 	return raw
 }
+
+// versionRoute returns the name of the route that only one version of the configuration has.
+func versionRoute(version int64) string { return fmt.Sprint("v", version) }
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -1,7 +1,8 @@
 // Package pwsoak runs the real program as several processes on loopback, injects
 // faults from outside, and checks what callers and backend servers rely on: an
 // at-most-once request never runs twice, a request refused as not run did not run,
-// each caller gets its own complete response, and streams lose and repeat no events.
+// each caller gets its own complete response, streams lose and repeat no events, and the
+// newest configuration is in force after all faults.
 //
 // # Usage
 //
@@ -170,6 +171,7 @@
 	s.server(0).setLimit(statedLimit)
 	sleep(ctx, recoveryTime)
 	s.checkBounds(calmFrom)
+	s.checkConfiguration(ctx)
 	s.mu.Lock()
 	before := s.report
 	s.mu.Unlock()
@@ -420,7 +422,10 @@
 	e := s.entries[s.rng.IntN(len(s.entries))]
 	i := s.rng.IntN(modelServers + deskServers)
 	pause := time.Duration(300+s.rng.IntN(1500)) * time.Millisecond
-	switch s.rng.IntN(21) {
+	switch s.rng.IntN(22) {
+	case 21:
+		away := pause / 4
+		return fmt.Sprintf("store away for %s, back from a copy %s old", away, pause), func(ctx context.Context) { s.restoreStore(ctx, pause, away) }
 	case 18:
 		part := fmt.Sprintf("bad%d", s.rng.IntN(1000))
 		return fmt.Sprintf("servers crash under part %s", part), func(context.Context) { s.common.setCrashingPart(part) }
@@ -574,6 +579,39 @@
 	s.store.SetFault("")
 }
 
+// restoreStore makes the store come back from a copy of the given age, after it was away.
+// The operators and the servers write what was lost again.
+func (s *soak) restoreStore(ctx context.Context, age, away time.Duration) {
+	c := s.store.Copy()
+	sleep(ctx, age)
+	s.store.SetFault(pwfakeplatform.StoreFaultBusy)
+	sleep(ctx, away)
+	lost := s.store.Restore(c)
+	s.store.SetFault("")
+	sleep(ctx, away)
+	s.store.WriteAgain("op", lost, c)
+	s.store.WriteAgain("servers", lost, c)
+}
+
+// checkConfiguration checks that all processes serve the route that only the newest
+// configuration has.
+func (s *soak) checkConfiguration(ctx context.Context) {
+	route := versionRoute(s.version.Load())
+	for _, e := range s.entries {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.callerAddress+"/"+route+"/x", nil)
+		if err != nil {
+			s.recordViolation("failed to build a request to route %q: %v", route, err)
+			return
+		}
+		r.Host = "soak.example"
+		r.Header.Set("X-Attempt-Id", fmt.Sprint("config-", e.index))
+		r.Header.Set("X-Deadline-Milliseconds", "3000")
+		if status, _, err := roundTrip(http.DefaultClient, r); err != nil || status != http.StatusOK {
+			s.recordViolation("entry %d responds with status %d (%v) on the route of the newest configuration", e.index, status, err)
+		}
+	}
+}
+
 // corruptConfiguration makes the operators' configuration row unreadable and, after
 // the pause, writes a newer version. Until then the previous configuration stays in
 // force.
