End each soak run with a restore of the store

Change: each run ends with a return from a copy made before its faults, and the configuration that is written 3 s later must be in force 2 s after that.

--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -58,6 +58,10 @@
 	limitFactor  = 1.5
 	limitSlack   = 5
 	stableWindow = 3 * time.Second
+	// applyTimeout is the time within which a configuration must be in force, stableWindow
+	// after the last outage of the store. finalOutage is the length of that outage.
+	applyTimeout = 2 * time.Second
+	finalOutage  = 300 * time.Millisecond
 	// statedLimit is the limit of a server, in requests a second.
 	statedLimit = 2.0
 	// crashReplacementDelay is the time from a crash until a new server replaces it.
@@ -165,13 +169,19 @@
 		}()
 	}
 	s.common.onCrash = func(b *backend) { s.replaceCrashed(ctx, b) }
+	oldCopy := s.store.Copy()
+	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
 	s.injectFaults(ctx)
 	s.clearFaults()
+	s.restoreStore(ctx, oldCopy, finalOutage)
 	calmFrom := time.Now()
 	s.server(0).setLimit(statedLimit)
-	sleep(ctx, recoveryTime)
-	s.checkBounds(calmFrom)
+	sleep(ctx, stableWindow)
+	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
+	sleep(ctx, applyTimeout)
 	s.checkConfiguration(ctx)
+	sleep(ctx, time.Until(calmFrom.Add(recoveryTime)))
+	s.checkBounds(calmFrom)
 	s.mu.Lock()
 	before := s.report
 	s.mu.Unlock()
@@ -425,7 +435,11 @@
 	switch s.rng.IntN(22) {
 	case 21:
 		away := pause / 4
-		return fmt.Sprintf("store away for %s, back from a copy %s old", away, pause), func(ctx context.Context) { s.restoreStore(ctx, pause, away) }
+		return fmt.Sprintf("store away for %s, back from a copy %s old", away, pause), func(ctx context.Context) {
+			c := s.store.Copy()
+			sleep(ctx, pause)
+			s.restoreStore(ctx, c, away)
+		}
 	case 18:
 		part := fmt.Sprintf("bad%d", s.rng.IntN(1000))
 		return fmt.Sprintf("servers crash under part %s", part), func(context.Context) { s.common.setCrashingPart(part) }
@@ -579,11 +593,9 @@
 	s.store.SetFault("")
 }
 
-// restoreStore makes the store come back from a copy of the given age, after it was away.
-// The operators and the servers write what was lost again.
-func (s *soak) restoreStore(ctx context.Context, age, away time.Duration) {
-	c := s.store.Copy()
-	sleep(ctx, age)
+// restoreStore makes the store come back from a copy, after it was away. The operators and
+// the servers write what was lost again.
+func (s *soak) restoreStore(ctx context.Context, c pwfakeplatform.StoreCopy, away time.Duration) {
 	s.store.SetFault(pwfakeplatform.StoreFaultBusy)
 	sleep(ctx, away)
 	lost := s.store.Restore(c)
@@ -594,7 +606,8 @@
 }
 
 // checkConfiguration checks that all processes serve the route that only the newest
-// configuration has.
+// configuration has, which was written applyTimeout ago, after the store had come back from
+// a copy made before all faults.
 func (s *soak) checkConfiguration(ctx context.Context) {
 	route := versionRoute(s.version.Load())
 	for _, e := range s.entries {
