Log rejections with the rest that servers ask for

Cause: a rejection left only the retry that followed, without the Retry-After of the server and the time since the request was placed, so that the hypotheses could not be told apart. No decision changes.

--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -320,6 +320,7 @@
 // error it returns whether the request may be retried on another server.
 func (x *exchange) trySend(ctx context.Context, plan pwfleet.Plan, assignment *pwfleet.Assignment) (retryable bool, err error) {
 	defer x.g.dispatcher.withFleet(func(time.Time, *pwfleet.Fleet) { assignment.End() })
+	placedAt := time.Now()
 	remaining := time.Until(x.deadline)
 	if remaining < minSendTime {
 		return false, pwverdict.New(pwverdict.NotRun, pwverdict.CauseDeadlineExceeded,
@@ -351,6 +352,7 @@
 		plan:         plan,
 		assignment:   assignment,
 		helpers:      helpers,
+		placedAt:     placedAt,
 		eventsBefore: x.eventCount,
 	}
 	return s.execute(ctx)
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -86,6 +86,9 @@
 	// together; Limited is set if it states one.
 	Limit   float64
 	Limited bool
+	// RetryAfter is how long a server that turns the request away wants nothing from this
+	// process, or 0 if it states nothing.
+	RetryAfter time.Duration
 }
 
 // Codec translates between the platform's headers and the gateway's types.
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -42,6 +42,7 @@
 	conn       *pwupstream.Conn
 	watchdog   *watchdog
 	gaps       gapWindow
+	placedAt   time.Time
 	// eventsBefore is the number of events that earlier sends delivered.
 	eventsBefore int
 	// timedOut is set when the watchdog ended the send.
@@ -201,6 +202,12 @@
 			f.MarkFull(now, rejecter)
 		}
 	})
+	x.g.obs.LogEvent("rejected", x.logFields(
+		"backend_server", rejecter,
+		"status", resp.StatusCode,
+		"retry_after_ms", metadata.RetryAfter.Milliseconds(),
+		"placed_ms", time.Since(s.placedAt).Milliseconds(),
+	))
 	x.rejections++
 	cause := pwverdict.CauseMemoryFull
 	if rejecter != s.plan.Server.ID {
