--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -123,6 +123,8 @@
 	mu   sync.Mutex
 	held map[string]int64
 	full bool
+	// delay is how long each call of Reserve takes.
+	delay time.Duration
 	// misdirected holds the ids of servers whose address belongs to another server.
 	misdirected map[string]bool
 	// reserveCalls holds the calls of Reserve for each server, in order.
@@ -136,6 +138,7 @@
 }
 
 func (e *fakeEngines) Reserve(_ context.Context, s pwcatalog.BackendServer, id string, tokens int64, hold time.Duration) (bool, error) {
+	time.Sleep(e.delay)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.reserveCalls == nil {
