Send nothing to servers that ask for rest

Cause: a rejection kept a server out for 60 ms, whatever it said; nothing read its Retry-After. Class, as with Server-Limit: what a server says about itself in an answer was taken for a part of the answer.

Change: the rest is kept with the server until its end or its restart, and counts like leaving: no fallback, no part of a long prompt, no reservation. Orders that a server turns away count too. If rest is all that keeps the servers of a service from work, a request is refused at once, with the time of the first end, spread over a quarter of it.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -205,6 +205,8 @@
 	replaced bool
 	// leaving is set when this incarnation has announced that it leaves.
 	leaving bool
+	// Until restsUntil the server wants no requests from this process.
+	restsUntil time.Time
 	// Until unconfirmedUntil the server gets no work, because its entry may be older than
 	// its end.
 	unconfirmedUntil time.Time
@@ -348,7 +350,7 @@
 		s.slowdown, s.slowUntil, s.slowDuration = movingMean{}, time.Time{}, 0
 		s.coldUntil, s.coldBucket = time.Time{}, tokenBucket{}
 		s.limit = nil
-		s.leaving = false
+		s.leaving, s.restsUntil = false, time.Time{}
 	}
 	if s.info.DataCentre != info.DataCentre {
 		f.cells.stale = true
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -93,19 +93,12 @@
 
 // unusableReason returns why a server gets no work, or "" if it may get work.
 func (f *Fleet) unusableReason(now time.Time, s *server, exclude map[string]bool) string {
+	if reason := f.closedReason(now, s); reason != "" {
+		return reason
+	}
 	switch {
-	case s.replaced:
-		return "gone"
-	case s.leaving:
-		return "draining"
-	case !s.lapsesAt.IsZero() && now.After(s.lapsesAt):
-		return "lapsed"
-	case now.Before(s.unconfirmedUntil):
-		return "unconfirmed"
-	case f.evacuated[s.info.DataCentre]:
-		return "evacuated"
 	case exclude[s.info.ID]:
-		return "tried"
+		return reasonTried
 	case now.Before(s.suspectUntil):
 		return "suspect"
 	case now.Before(s.fullUntil):
@@ -118,20 +111,55 @@
 	return ""
 }
 
-// reasonFull is the reason for a server that has just rejected a request because it
-// was full.
-const reasonFull = "full"
+// closedReason returns why a server must get no request, also one that was planned there
+// before, or "" if it may get some.
+func (f *Fleet) closedReason(now time.Time, s *server) string {
+	switch {
+	case s.replaced:
+		return reasonGone
+	case s.leaving:
+		return reasonDraining
+	case !s.lapsesAt.IsZero() && now.After(s.lapsesAt):
+		return reasonLapsed
+	case now.Before(s.unconfirmedUntil):
+		return "unconfirmed"
+	case f.evacuated[s.info.DataCentre]:
+		return reasonEvacuated
+	case now.Before(s.restsUntil):
+		return reasonResting
+	}
+	return ""
+}
 
-// noServerError returns the error for a service without a usable server. reasons
-// counts the servers by unusableReason.
-func noServerError(service string, reasons map[string]int) error {
+// Reasons of unusableReason that decisions depend on.
+const (
+	reasonGone      = "gone"
+	reasonDraining  = "draining"
+	reasonLapsed    = "lapsed"
+	reasonEvacuated = "evacuated"
+	reasonResting   = "resting"
+	reasonTried     = "tried"
+	// reasonFull is the reason for a server that has just rejected a request because it
+	// was full.
+	reasonFull = "full"
+)
+
+// noServerError returns the error for a request whose service has no usable server. reasons
+// counts the servers by unusableReason. The error states when a retry may succeed if that
+// is known.
+func (f *Fleet) noServerError(now time.Time, r Request, reasons map[string]int) error {
 	cause := pwverdict.CauseNoCandidate
 	if reasons[reasonFull] > 0 {
 		// A full server will soon accept work again.
 		cause = pwverdict.CauseConcurrencyFull
 	}
-	return pwverdict.New(pwverdict.NotRun, cause,
-		"no backend server of %q may get work: %v", service, reasons)
+	err := pwverdict.New(pwverdict.NotRun, cause,
+		"no backend server of %q may get work: %v", r.Service, reasons)
+	if wait, known := f.nextRestEnd(now, r); known {
+		spread := int(restSpread * float64(wait/time.Millisecond))
+		return err.WithRetryAfter(wait + time.Duration(f.randIntN(spread+1))*time.Millisecond)
+	}
+	return err
 }
 
 // candidates returns the servers that may get work: those of the own cell, or if there
@@ -162,7 +190,7 @@
 		}
 	}
 	if len(out) == 0 {
-		return nil, noServerError(r.Service, reasons)
+		return nil, f.noServerError(now, r, reasons)
 	}
 	return out, nil
 }
--- /dev/null
+++ b/internal/core/pwfleet/rest.go
@@ -0,0 +1,49 @@
+package pwfleet
+
+import (
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+)
+
+// restSpread is the part of a server's rest over which refused callers return after its
+// end, so that they don't all come at once.
+const restSpread = 0.25
+
+// RecordRest records that a server wants no request from this process for d. A rest that
+// ends later stays in force.
+func (f *Fleet) RecordRest(now time.Time, id string, d time.Duration) {
+	if s := f.servers[id]; s != nil && now.Add(d).After(s.restsUntil) {
+		s.restsUntil = now.Add(d)
+	}
+}
+
+// CheckSend returns an error with the verdict NotRun if a server must get no request from
+// this process, although one was planned there before.
+func (f *Fleet) CheckSend(now time.Time, id string) error {
+	s := f.servers[id]
+	if s == nil {
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseOutOfService, "%s has been removed since", id)
+	}
+	if reason := f.closedReason(now, s); reason != "" {
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseOutOfService, "%s must get no more work: %s", id, reason)
+	}
+	return nil
+}
+
+// nextRestEnd returns the time until the first server of a service may get work again. It
+// is known if the rest that servers ask for is all that keeps them from it.
+func (f *Fleet) nextRestEnd(now time.Time, r Request) (wait time.Duration, known bool) {
+	for _, s := range f.byService[r.Service] {
+		switch reason := f.unusableReason(now, s, r.Exclude); reason {
+		case reasonResting:
+			if d := s.restsUntil.Sub(now); !known || d < wait {
+				wait, known = d, true
+			}
+		case reasonTried, reasonGone, reasonDraining, reasonLapsed, reasonEvacuated:
+		default:
+			return 0, false
+		}
+	}
+	return wait, known
+}
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -302,7 +302,7 @@
 	case pwverdict.CausePrefillBusy, pwverdict.CauseMemoryFull, pwverdict.CauseConcurrencyFull:
 		return now.Before(p.abandonAt) && (p.short || now.Before(p.capacityWaitUntil))
 	case pwverdict.CauseNoCandidate:
-		return now.Before(p.noServerWaitUntil)
+		return now.Add(pwverdict.AsError(err).RetryAfter()).Before(p.noServerWaitUntil)
 	default:
 		return false
 	}
@@ -422,6 +422,13 @@
 	}
 }
 
+// checkSend returns an error if a server that a request was placed on must get no more.
+func (d *dispatcher) checkSend(id string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.CheckSend(time.Now(), id)
+}
+
 // recordActivity records that a server has just sent something.
 func (d *dispatcher) recordActivity(id string) {
 	d.mu.Lock()
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -66,6 +66,12 @@
 			s.conn.Close()
 		}
 	}()
+	// The server may have left or asked for rest while the memory was reserved and the
+	// connection opened.
+	if err := x.g.dispatcher.checkSend(s.plan.Server.ID); err != nil {
+		x.rejections++
+		return x.rejections < x.g.cfg.Policy.MaxRejections, err
+	}
 	h := endToEndHeaders(x.r.Header)
 	x.g.codec.SetForwardHeaders(h, ForwardMetadata{
 		Instance:        s.plan.Server.ID,
@@ -97,6 +103,9 @@
 		return s.handleNoResponse(err)
 	}
 	s.recordLimit(metadata)
+	if metadata.RetryAfter > 0 {
+		x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) { f.RecordRest(now, s.plan.Server.ID, metadata.RetryAfter) })
+	}
 	if metadata.NotRun || metadata.Misdirected {
 		return s.handleRejection(resp, metadata)
 	}
@@ -355,6 +364,9 @@
 		case res.err != nil:
 			reserveErr = res.err
 			x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
+				if rest := pwverdict.AsError(res.err).RetryAfter(); rest > 0 {
+					f.RecordRest(now, res.r.Server.ID, rest)
+				}
 				if pwverdict.CauseOf(res.err) == pwverdict.CauseOutOfService {
 					f.MarkReplaced(res.r.Server.ID)
 				} else if ctx.Err() == nil {
