Keep servers out that state that they leave

A server whose answer states that it leaves must get no request from this gateway later than drain-ms, also when the gateway cannot reach the store; so far only the store's entry counted.

Change: the statement is kept with the incarnation of the server. It and a rest outlive changes, lapses and removals of the server's entry, and end with a new start. Without a start time in the entry, they end with its removal.

--- a/internal/core/pwfleet/departure.go
+++ b/internal/core/pwfleet/departure.go
@@ -15,7 +15,9 @@
 	startUnixMS int64
 	// leaving is set if the server had announced that it leaves.
 	leaving bool
-	at      time.Time
+	// restsUntil is the end of the rest that it had asked for.
+	restsUntil time.Time
+	at         time.Time
 }
 
 // UpsertRestored adds or updates a server whose entry comes from a store that has come
@@ -43,6 +45,17 @@
 	}
 }
 
+// MarkLeaving marks a server that has stated that it leaves. This incarnation gets no more
+// work. MarkLeaving reports whether that is new.
+func (f *Fleet) MarkLeaving(id string) bool {
+	s := f.servers[id]
+	if s == nil || s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
 // ForgetDepartures drops what is remembered of servers that were removed long ago.
 func (f *Fleet) ForgetDepartures(now time.Time) {
 	for id, d := range f.departed {
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -336,6 +336,9 @@
 		s = &server{
 			hash: HashServerID(info.ID),
 		}
+		if d, ok := f.departed[info.ID]; ok && d.startUnixMS == info.StartUnixMS && info.StartUnixMS != 0 {
+			s.leaving, s.restsUntil = d.leaving, d.restsUntil
+		}
 		f.servers[info.ID] = s
 		f.byHash[s.hash] = s
 		for _, p := range f.peers {
@@ -355,10 +358,11 @@
 	if s.info.DataCentre != info.DataCentre {
 		f.cells.stale = true
 	}
+	// Without a start time, a ready entry after a draining one stands for a new incarnation.
+	s.leaving = info.Draining || s.leaving && (info.StartUnixMS != 0 || !s.info.Draining)
 	s.info = info
 	s.lapsesAt, s.unconfirmedUntil = time.Time{}, time.Time{}
 	s.replaced = false
-	s.leaving = info.Draining || s.leaving && info.StartUnixMS != 0
 	delete(f.departed, info.ID)
 	if until := now.Add(info.ColdRemaining); info.ColdRemaining > 0 && until.After(s.coldUntil) {
 		s.coldUntil = until
@@ -382,6 +386,7 @@
 	f.departed[id] = departure{
 		startUnixMS: s.info.StartUnixMS,
 		leaving:     s.leaving,
+		restsUntil:  s.restsUntil,
 		at:          now,
 	}
 	delete(f.servers, id)
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -86,6 +86,8 @@
 	// together; Limited is set if it states one.
 	Limit   float64
 	Limited bool
+	// Leaving is set if the server states that it leaves.
+	Leaving bool
 	// RetryAfter is how long a server that turns the request away wants nothing from this
 	// process, or 0 if it states nothing.
 	RetryAfter time.Duration
--- a/internal/node/pwgateway/rest_test.go
+++ b/internal/node/pwgateway/rest_test.go
@@ -214,6 +214,35 @@
 	})
 }
 
+// Guards against a server that gets work before the end of its rest, because its entry was
+// removed and returned.
+func TestRestSurvivesRemovalOfEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestingSite(t, "desk", 1)
+		entry := pwcontrol.Item[pwcatalog.BackendServer]{
+			Key: "desk-0",
+			Value: pwcatalog.BackendServer{
+				ID:          "desk-0",
+				Service:     "desk",
+				Address:     "desk-0",
+				DataCentre:  "hakata",
+				StartUnixMS: 7,
+			},
+		}
+		s.gateway.ApplyServers([]pwcontrol.Item[pwcatalog.BackendServer]{entry}, time.Time{})
+		s.setRest(3*time.Second, "desk-0")
+		s.sendRequest(context.Background(), "/view/1")
+		s.gateway.ApplyServers([]pwcontrol.Item[pwcatalog.BackendServer]{{
+			Key:     "desk-0",
+			Removed: true,
+		}, entry}, time.Time{})
+		s.sendRequest(context.Background(), "/view/2")
+		if s.rejected != 1 {
+			t.Errorf("%d requests reached the server, want only the one before its rest", s.rejected)
+		}
+	})
+}
+
 // A new incarnation of a server has asked for nothing.
 func TestRestEndsWithIncarnation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -103,9 +103,7 @@
 		return s.handleNoResponse(err)
 	}
 	s.recordLimit(metadata)
-	if metadata.RetryAfter > 0 {
-		x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) { f.RecordRest(now, s.plan.Server.ID, metadata.RetryAfter) })
-	}
+	s.recordStatements(metadata)
 	if metadata.NotRun || metadata.Misdirected {
 		return s.handleRejection(resp, metadata)
 	}
@@ -189,6 +187,22 @@
 	}
 }
 
+// recordStatements records that the server leaves or wants no requests for a while, if its
+// response states that.
+func (s *send) recordStatements(metadata ResponseMetadata) {
+	if metadata.Misdirected || !metadata.Leaving && metadata.RetryAfter <= 0 {
+		return
+	}
+	leaves := false
+	s.x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
+		f.RecordRest(now, s.plan.Server.ID, metadata.RetryAfter)
+		leaves = metadata.Leaving && f.MarkLeaving(s.plan.Server.ID)
+	})
+	if leaves {
+		s.x.g.obs.LogEvent("server_leaving", s.x.logFields("backend_server", s.plan.Server.ID))
+	}
+}
+
 // handleRejection handles a response which states that the request has not run.
 func (s *send) handleRejection(resp *http.Response, metadata ResponseMetadata) (bool, error) {
 	x := s.x
