--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -26,10 +26,33 @@
 )
 
 // runCounter counts how often each request ran, by attempt id, over all backend
-// servers.
+// servers, and holds where and when callers sent it.
 type runCounter struct {
-	mu     sync.Mutex
-	counts map[string]int
+	mu      sync.Mutex
+	counts  map[string]int
+	origins map[string]origin
+}
+
+// origin is the index of the entry that a caller sent a request to, and when.
+type origin struct {
+	entry  int
+	sentAt time.Time
+}
+
+func (c *runCounter) recordOrigin(id string, entry int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.origins[id] = origin{
+		entry:  entry,
+		sentAt: time.Now(),
+	}
+}
+
+func (c *runCounter) origin(id string) (entry int, sentAt time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.origins[id]
+	return o.entry, o.sentAt
 }
 
 func (c *runCounter) add(id string) {
@@ -110,6 +133,25 @@
 	// no limit. arrivals holds when requests reached it while it stated one.
 	limit    float64
 	arrivals []time.Time
+	// leaving makes the server state that it leaves, rest that it wants no requests for so
+	// long from an entry, all of whose requests it then rejects.
+	leaving bool
+	rest    time.Duration
+	// told holds what the server stated to each entry, by the entry's index.
+	told map[int]*statement
+}
+
+// statement is what a server stated to one entry, and what it got from it since.
+type statement struct {
+	// leavingAt is when an answer that the server leaves was first complete. Requests that
+	// callers sent later than drainTimeout after it count in late.
+	leavingAt time.Time
+	late      int
+	// restAt and restUntil bound the rest. Requests that arrive within it, but restGrace
+	// after its beginning, count in early.
+	restAt    time.Time
+	restUntil time.Time
+	early     int
 }
 
 // startBackend starts a backend server and its proxy, and publishes the server as
@@ -123,6 +165,7 @@
 		runs:      runs,
 		store:     store,
 		startedMS: time.Now().UnixMilli(),
+		told:      make(map[int]*statement),
 	}
 	lis, err := listen(ctx)
 	if err != nil {
@@ -169,9 +212,77 @@
 // startDraining publishes that the server is draining, which the platform does before
 // it takes a server away.
 func (b *backend) startDraining() {
+	b.setLeaving()
 	b.publishState("draining")
 }
 
+// setLeaving makes the server state in its answers that it leaves.
+func (b *backend) setLeaving() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = true
+}
+
+// setRest makes the server reject requests and ask for rest, or serve again if it is 0.
+func (b *backend) setRest(rest time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rest = rest
+	clear(b.told)
+}
+
+// breaches returns the largest numbers of requests that one entry sent although the server
+// had stated that it leaves, and during its rest.
+func (b *backend) breaches() (late, early int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, st := range b.told {
+		late, early = max(late, st.late), max(early, st.early)
+	}
+	return late, early
+}
+
+// rejectForRest counts a request against what the server has stated to the entry that
+// sent it. It rejects the request if the server wants rest.
+func (b *backend) rejectForRest(w http.ResponseWriter, id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entry, sentAt := b.runs.origin(id)
+	st := b.told[entry]
+	if st == nil {
+		st = &statement{}
+		b.told[entry] = st
+	}
+	now := time.Now()
+	if !st.leavingAt.IsZero() && sentAt.Sub(st.leavingAt) > drainTimeout {
+		st.late++
+	}
+	if now.Before(st.restUntil) && now.Sub(st.restAt) > restGrace {
+		st.early++
+	}
+	if b.rest <= 0 {
+		return false
+	}
+	if !now.Before(st.restUntil) {
+		st.restAt, st.early = now, 0
+	}
+	st.restUntil = now.Add(b.rest)
+	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("Retry-After", fmt.Sprintf("%.3f", b.rest.Seconds()))
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// recordLeft records that an answer is complete which stated that the server leaves.
+func (b *backend) recordLeft(h http.Header, id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	entry, _ := b.runs.origin(id)
+	if st := b.told[entry]; h.Get("Server-Leaving") != "" && st != nil && st.leavingAt.IsZero() {
+		st.leavingAt = time.Now()
+	}
+}
+
 // ServeHTTP rejects a request meant for another instance with 421; otherwise it counts
 // the run and responds with the attempt id, the path and the body, or with a stream.
 func (b *backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -191,8 +302,12 @@
 	if err != nil {
 		return
 	}
+	if b.rejectForRest(w, id) {
+		return
+	}
 	b.runs.add(id)
 	b.stateLimit(h)
+	defer b.recordLeft(h, id)
 	h.Set("X-Response-Seal", "seal."+id)
 	if r.Header.Get("X-Token-Counts") != "" {
 		b.serveStream(w, r)
@@ -210,10 +325,14 @@
 	b.limit, b.arrivals = perSecond, nil
 }
 
-// stateLimit adds the limit to the headers of an answer and records the arrival.
+// stateLimit adds to the headers of an answer that the server leaves, and its limit, for
+// which it records the arrival.
 func (b *backend) stateLimit(h http.Header) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.leaving {
+		h.Set("Server-Leaving", "1")
+	}
 	if b.limit > 0 {
 		h.Set("Server-Limit", fmt.Sprint(b.limit))
 		b.arrivals = append(b.arrivals, time.Now())
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -58,6 +58,14 @@
 	limitFactor  = 1.5
 	limitSlack   = 5
 	stableWindow = 3 * time.Second
+	// drainTimeout is the time after which an entry must send nothing to a server that has
+	// stated to it that it leaves.
+	drainTimeout = 2 * time.Second
+	// From restGrace after a server has asked an entry for restTime of rest, it may get
+	// maxRestArrivals requests from that entry.
+	restTime        = 3 * time.Second
+	restGrace       = 500 * time.Millisecond
+	maxRestArrivals = 2
 	// applyTimeout is the time within which a configuration must be in force, stableWindow
 	// after the last outage of the store. finalOutage is the length of that outage.
 	applyTimeout = 2 * time.Second
@@ -145,7 +153,8 @@
 		rng:   rand.New(rand.NewPCG(opts.Seed, 1)),
 		store: pwfakeplatform.NewStore(),
 		runs: &runCounter{
-			counts: make(map[string]int),
+			counts:  make(map[string]int),
+			origins: make(map[string]origin),
 		},
 		servers:    make(map[string]*backend),
 		common:     &conditions{},
@@ -176,6 +185,8 @@
 	s.restoreStore(ctx, oldCopy, finalOutage)
 	calmFrom := time.Now()
 	s.server(0).setLimit(statedLimit)
+	s.server(1).setLeaving()
+	s.server(2).setRest(restTime)
 	sleep(ctx, stableWindow)
 	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
 	sleep(ctx, applyTimeout)
@@ -195,11 +206,18 @@
 }
 
 // checkBounds checks after the recovery what the processes together send to a server
-// that states a limit and, if it has crashed enough servers, under the crashing part.
+// that states a limit and, if it has crashed enough servers, under the crashing part, and
+// what each of them sends to servers that leave or rest.
 func (s *soak) checkBounds(calmFrom time.Time) {
 	if n := s.server(0).arrivedSince(time.Now().Add(-limitWindow)); float64(n) > limitFactor*statedLimit*limitWindow.Seconds()+limitSlack {
 		s.recordViolation("a server that states a limit of %g a second got %d requests in %s", statedLimit, n, limitWindow)
 	}
+	if late, _ := s.server(1).breaches(); late > 0 {
+		s.recordViolation("a server that had stated that it leaves got %d requests from an entry later than %s after", late, drainTimeout)
+	}
+	if _, early := s.server(2).breaches(); early > maxRestArrivals {
+		s.recordViolation("a server that had asked for %s of rest got %d requests from an entry within it", restTime, early)
+	}
 	from := calmFrom.Add(stableWindow)
 	if n := s.common.reachedSince(from); n > maxLaterRequests && s.common.reachedSince(time.Time{})-n >= 5 {
 		s.recordViolation("%d requests with part %q reached servers after it had crashed five", n, s.common.part())
@@ -432,7 +450,14 @@
 	e := s.entries[s.rng.IntN(len(s.entries))]
 	i := s.rng.IntN(modelServers + deskServers)
 	pause := time.Duration(300+s.rng.IntN(1500)) * time.Millisecond
-	switch s.rng.IntN(22) {
+	switch s.rng.IntN(23) {
+	case 22:
+		return fmt.Sprintf("server %d asks for rest for %s", i, pause), func(ctx context.Context) {
+			b := s.server(i)
+			b.setRest(restTime)
+			sleep(ctx, pause)
+			b.setRest(0)
+		}
 	case 21:
 		away := pause / 4
 		return fmt.Sprintf("store away for %s, back from a copy %s old", away, pause), func(ctx context.Context) {
@@ -731,6 +756,7 @@
 		r.Header.Set("X-Token-Counts", "3000,100")
 		r.Header.Set("X-Prompt-Prefix", strings.Join(parts, ":40,")+":40")
 	}
+	s.runs.recordOrigin(id, e.index)
 	status, got, err := roundTrip(client, r)
 	if ctx.Err() != nil {
 		return false
