Show that accepted changes are lost with an older copy of the table

The change log numbers changes by what the table holds. When the table comes back from an older copy, numbers are given out again, processes that know a larger one ignore the change, and accepted marks are gone once processes restart.

--- a/internal/fake/pwfakeplatform/table.go
+++ b/internal/fake/pwfakeplatform/table.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -80,6 +81,30 @@
 	t.remainingFaults[f] = n
 }
 
+// TableCopy is a copy of a Table.
+type TableCopy struct {
+	rows     map[string]pwtable.Row
+	revision uint64
+}
+
+// Copy returns a copy of the table.
+func (t *Table) Copy() TableCopy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return TableCopy{
+		rows:     maps.Clone(t.rows),
+		revision: t.revision,
+	}
+}
+
+// Restore brings the table back from a copy. It loses later commits and gives out their
+// versions again.
+func (t *Table) Restore(c TableCopy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.rows, t.revision = maps.Clone(c.rows), c.revision
+}
+
 // SetLatency delays every call.
 func (t *Table) SetLatency(d time.Duration) {
 	t.mu.Lock()
--- a/internal/state/pwgossip/gossip_test.go
+++ b/internal/state/pwgossip/gossip_test.go
@@ -77,6 +77,7 @@
 	nodes      int
 	fleet      *pwfakepeer.Fleet
 	lastChange pwchange.Change
+	tableCopy  pwfakeplatform.TableCopy
 	// lastReads and lastReadsAt are the table's read counter and the time at the
 	// last directive "reads".
 	lastReads   int64
@@ -166,6 +167,17 @@
 		s.fleet.SetInstanceListDown(td.HasArg("down"))
 	case "table":
 		s.fleet.Table().SetFault(pwfakeplatform.Fault(fault), n)
+	case "copy":
+		s.tableCopy = s.fleet.Table().Copy()
+	case "restore":
+		// The table comes back from the copy.
+		s.fleet.Table().Restore(s.tableCopy)
+	case "head":
+		head, err := s.fleet.Log().Head(t.Context())
+		if err != nil {
+			return err.Error()
+		}
+		return fmt.Sprintf("table: head %d, keys %d", head.Sequence, head.KeyCount)
 	case "status":
 		return s.status(t, td, node)
 	case "older":
