Write accepted changes again that the table has lost

After the table had come back from an older copy, an accepted mark or document held only as long as some process knew it, and a change that was accepted then got the number of a lost one, so that processes ignored it or each other.

Change: an entry numbers a change above all that it knows, not only above what the table holds. A relay that holds changes that the table lacks, because its own number is higher or the hashes differ after all keys were read, writes them again with new numbers; a change that is newer in the table stays.

The other scripts and TestPropagationTable pass unchanged.

--- a/internal/fake/pwfakepeer/fleet.go
+++ b/internal/fake/pwfakepeer/fleet.go
@@ -241,7 +241,7 @@
 
 // ApplyProposal writes a proposal to the change log and publishes the change at node i.
 func (f *Fleet) ApplyProposal(ctx context.Context, i int, p pwchange.Proposal) (pwchange.Change, error) {
-	c, err := f.log.Apply(ctx, p)
+	c, err := f.log.WithKnownSequence(f.Node(i).Head).Apply(ctx, p)
 	if err == nil {
 		f.Node(i).Publish(c)
 	}
--- a/internal/node/pwprocess/entry.go
+++ b/internal/node/pwprocess/entry.go
@@ -287,7 +287,7 @@
 	}
 	return pwoperator.Deps{
 		Operators:   pwsecurity.NewOperatorAuthenticator(p.settings.Operators),
-		ChangeLog:   do.MustInvoke[*pwchange.Log](i),
+		ChangeLog:   do.MustInvoke[*pwchange.Log](i).WithKnownSequence(p.node.Head),
 		Replica:     p.node,
 		Propagation: o,
 		Fleet:       o,
--- a/internal/state/pwchange/log.go
+++ b/internal/state/pwchange/log.go
@@ -53,12 +53,25 @@
 // Log reads and writes the change log in the table.
 type Log struct {
 	table Table
+	// knownSequence returns the largest sequence number that this process has seen.
+	knownSequence func() uint64
 }
 
 // NewLog returns the change log that is stored in table t.
 func NewLog(t Table) *Log {
 	return &Log{
-		table: t,
+		table:         t,
+		knownSequence: func() uint64 { return 0 },
+	}
+}
+
+// WithKnownSequence returns the same log, which gives new changes sequence numbers above
+// those that known returns. The table may have come back from an older copy and lack
+// changes that processes know.
+func (l *Log) WithKnownSequence(known func() uint64) *Log {
+	return &Log{
+		table:         l.table,
+		knownSequence: known,
 	}
 }
 
@@ -77,6 +90,9 @@
 	// outcome. Because that call may have taken effect, Apply then returns an
 	// error with NotRun only after it has read the key's row.
 	IsRetry bool
+	// lost is the change that Repair writes again, or nil. known is its argument.
+	lost  *Change
+	known uint64
 }
 
 // ConflictError reports that the key has changed since the author read it. It is
@@ -137,6 +153,30 @@
 	if err := p.validate(); err != nil {
 		return Change{}, err
 	}
+	return l.apply(ctx, p)
+}
+
+// Repair writes a change again that the table lost when it came back from an older copy,
+// with a new sequence number greater than known. If the table holds a newer change of the
+// key, Repair changes nothing and returns that one.
+func (l *Log) Repair(ctx context.Context, lost Change, known uint64) (Change, error) {
+	id := lost.ProposalID
+	if id == "" {
+		// Changes that peers have sent lack the identifier.
+		id = fmt.Sprintf("repair-%d", lost.Sequence)
+	}
+	return l.apply(ctx, Proposal{
+		Key:        lost.Key,
+		Value:      lost.Value,
+		Author:     lost.Author,
+		ProposalID: id,
+		lost:       &lost,
+		known:      known,
+	})
+}
+
+// apply commits a proposal and retries commits that fail because of other changes.
+func (l *Log) apply(ctx context.Context, p Proposal) (Change, error) {
 	var compact bytes.Buffer
 	if len(p.Value) > 0 {
 		if err := json.Compact(&compact, p.Value); err != nil {
@@ -207,6 +247,12 @@
 	if err != nil {
 		return Change{}, err
 	}
+	if p.lost != nil {
+		if state.Sequence >= p.lost.Sequence {
+			return l.readChange(ctx, state.Sequence)
+		}
+		p.ExpectedSequence = state.Sequence
+	}
 	if applied, ok := lo.Find(state.Recent, func(r recentProposal) bool { return r.ID == p.ProposalID }); ok {
 		c, err := l.readChange(ctx, applied.Sequence)
 		if pwverdict.CauseOf(err) == pwverdict.CauseNotFound {
@@ -225,15 +271,17 @@
 			return Change{}, err
 		}
 	}
-	if err := p.checkOwner(current); err != nil {
-		return Change{}, err
+	if p.lost == nil {
+		if err := p.checkOwner(current); err != nil {
+			return Change{}, err
+		}
 	}
 	if state.Sequence != p.ExpectedSequence {
 		return Change{}, pwverdict.Wrap(&ConflictError{NewestChange: current}, pwverdict.NotRun, pwverdict.CauseConflict,
 			"proposal expects sequence number %d of %s", p.ExpectedSequence, p.Key)
 	}
 	c := Change{
-		Sequence:         head.Sequence + 1,
+		Sequence:         max(head.Sequence, l.knownSequence(), p.known) + 1,
 		Key:              p.Key,
 		Value:            p.Value,
 		AcceptedUnixMS:   time.Now().UnixMilli(),
@@ -241,6 +289,9 @@
 		Author:           p.Author,
 		ProposalID:       p.ProposalID,
 	}
+	if p.lost != nil {
+		c.AcceptedUnixMS = p.lost.AcceptedUnixMS
+	}
 	head.Sequence = c.Sequence
 	head.Hash += entryHash(c.Key, c.Sequence) - entryHash(c.Key, state.Sequence)
 	head.KeyCount += lo.Ternary(state.Sequence == 0, 1, 0)
--- a/internal/state/pwgossip/gossip.go
+++ b/internal/state/pwgossip/gossip.go
@@ -46,10 +46,17 @@
 // one after another, up to rank takeoverRanks. Each of them keeps the role for
 // takeoverHold. A process that has never read an instance list has no peers and
 // reads the table itself, at a lower rate.
+//
+// # Repair
+//
+// The table may come back from an older copy and lack changes that the processes hold.
+// A relay that finds such changes writes them again, with sequence numbers above all
+// that it knows, so that they replace the lost ones everywhere.
 package pwgossip
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -95,12 +102,15 @@
 	Instances(ctx context.Context) ([]pwinstance.Instance, error)
 }
 
-// ChangeLog is the part of pwchange.Log that processes with the relay role read.
+// ChangeLog is the part of pwchange.Log that processes with the relay role use.
 type ChangeLog interface {
 	Head(ctx context.Context) (pwchange.Head, error)
 	ChangesSince(ctx context.Context, floor uint64) ([]pwchange.Change, error)
 	Keys(ctx context.Context, after string) ([]pwchange.KeySequence, error)
 	Change(ctx context.Context, sequence uint64) (pwchange.Change, error)
+	// Repair writes a change again that the table has lost, with a sequence number greater
+	// than known.
+	Repair(ctx context.Context, lost pwchange.Change, known uint64) (pwchange.Change, error)
 }
 
 // Crashes provides the crash counts that are sent along with exchanges, and merges
@@ -267,6 +277,14 @@
 	return n.replica.Get(key)
 }
 
+// changesSince returns the known changes with sequence numbers greater than floor, oldest
+// first.
+func (n *Node) changesSince(floor uint64) []pwchange.Change {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.replica.ChangesSince(floor, math.MaxInt)
+}
+
 // Keys returns the known keys with a prefix, in sorted order.
 func (n *Node) Keys(prefix string) []string {
 	n.mu.Lock()
--- a/internal/state/pwgossip/relay.go
+++ b/internal/state/pwgossip/relay.go
@@ -19,6 +19,8 @@
 	pagesPerTick = 16
 	// readsPerTick bounds the single log rows that are read in one tick.
 	readsPerTick = 256
+	// repairsPerTick bounds the changes that are written again in one tick.
+	repairsPerTick = 64
 	// gapWindow is the number of sequence numbers below the head that a relay
 	// reads again to fill a gap, before it reads the list of all keys.
 	gapWindow = 256
@@ -135,12 +137,19 @@
 	if err == nil && r.hasGap(head) {
 		err = r.readSince(ctx, head.Sequence-min(head.Sequence, gapWindow))
 	}
+	var lost []pwchange.Change
 	if err == nil && r.hasGap(head) {
-		err = r.readKeys(ctx)
+		lost, err = r.readKeys(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	if own.Head > head.Sequence {
+		lost = n.changesSince(head.Sequence)
+	}
+	if err := r.repair(ctx, lost); err != nil {
+		return err
+	}
 	n.confirm(head.Digest(), startedAt, n.opts.Self.ID)
 	if n.digest().Head >= head.Sequence {
 		n.recordContact()
@@ -171,34 +180,55 @@
 	return nil
 }
 
+// repair writes changes again that the table has lost. Some of them may only be newer than
+// the reading of the table; Repair leaves those as they are.
+func (r *relay) repair(ctx context.Context, lost []pwchange.Change) error {
+	for _, c := range lost[:min(len(lost), repairsPerTick)] {
+		repaired, err := r.node.opts.Log.Repair(ctx, c, r.node.Head())
+		if err != nil {
+			return err
+		}
+		r.node.mergeChanges([]pwchange.Change{repaired})
+	}
+	return nil
+}
+
 // readKeys compares all keys with the table, to fill gaps that are older than
-// gapWindow.
-func (r *relay) readKeys(ctx context.Context) error {
+// gapWindow. It returns the changes that the table lacks.
+func (r *relay) readKeys(ctx context.Context) (lost []pwchange.Change, err error) {
 	lastKey := ""
 	reads := 0
+	inTable := make(map[string]uint64)
 	for {
 		r.node.counters.tableReads.Add(1)
 		page, err := r.node.opts.Log.Keys(ctx, lastKey)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		for _, k := range page {
+			inTable[k.Key] = k.Sequence
 			if held, _ := r.node.Get(k.Key); held.Sequence >= k.Sequence {
 				continue
 			}
 			if reads++; reads > readsPerTick {
-				return nil
+				return nil, nil
 			}
 			r.node.counters.tableReads.Add(1)
 			c, err := r.node.opts.Log.Change(ctx, k.Sequence)
 			if err != nil {
-				return err
+				return nil, err
 			}
 			r.node.mergeChanges([]pwchange.Change{c})
 		}
 		if len(page) < pwchange.MaxPage {
-			return nil
+			break
 		}
 		lastKey = page[len(page)-1].Key
 	}
+	for _, c := range r.node.changesSince(0) {
+		if c.Sequence > inTable[c.Key] {
+			lost = append(lost, c)
+		}
+	}
+	return lost, nil
 }
