Log the beginning of a rest, and rejections as routine lines

Now server_resting is always written and rejected is a routine line, which is left out first. No decision changes; the tests of pwgateway and pwfleet pass.

--- a/internal/core/pwfleet/rest.go
+++ b/internal/core/pwfleet/rest.go
@@ -10,12 +10,16 @@
 // end, so that they don't all come at once.
 const restSpread = 0.25
 
-// RecordRest records that a server wants no request from this process for d. A rest that
-// ends later stays in force.
-func (f *Fleet) RecordRest(now time.Time, id string, d time.Duration) {
-	if s := f.servers[id]; s != nil && now.Add(d).After(s.restsUntil) {
-		s.restsUntil = now.Add(d)
+// RecordRest records that a server wants no request from this process for d, and reports
+// whether it did not rest already. A rest that ends later stays in force.
+func (f *Fleet) RecordRest(now time.Time, id string, d time.Duration) (began bool) {
+	s := f.servers[id]
+	if s == nil || !now.Add(d).After(s.restsUntil) {
+		return false
 	}
+	began = d > 0 && !now.Before(s.restsUntil)
+	s.restsUntil = now.Add(d)
+	return began
 }
 
 // CheckSend returns an error with the verdict NotRun if a server must get no request from
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -193,11 +193,18 @@
 	if metadata.Misdirected || !metadata.Leaving && metadata.RetryAfter <= 0 {
 		return
 	}
-	leaves := false
+	rests, leaves := false, false
 	s.x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
-		f.RecordRest(now, s.plan.Server.ID, metadata.RetryAfter)
+		rests = f.RecordRest(now, s.plan.Server.ID, metadata.RetryAfter)
 		leaves = metadata.Leaving && f.MarkLeaving(s.plan.Server.ID)
 	})
+	if rests {
+		s.x.g.obs.LogEvent("server_resting", s.x.logFields(
+			"backend_server", s.plan.Server.ID,
+			"rest_ms", metadata.RetryAfter.Milliseconds(),
+			"placed_ms", time.Since(s.placedAt).Milliseconds(),
+		))
+	}
 	if leaves {
 		s.x.g.obs.LogEvent("server_leaving", s.x.logFields("backend_server", s.plan.Server.ID))
 	}
@@ -225,10 +232,9 @@
 			f.MarkFull(now, rejecter)
 		}
 	})
-	x.g.obs.LogEvent("rejected", x.logFields(
+	x.g.obs.LogRoutineEvent("rejected", x.logFields(
 		"backend_server", rejecter,
 		"status", resp.StatusCode,
-		"retry_after_ms", metadata.RetryAfter.Milliseconds(),
 		"placed_ms", time.Since(s.placedAt).Milliseconds(),
 	))
 	x.rejections++
