Hear peers that restart with an earlier time of day

A gateway whose time of day had been ahead when it started, and that starts again with the right one, was never heard, so that the others placed without its load.

Measured: TestRestartWithEarlierClockIsHeard failed before (1 of 100 messages merged) and passes; replayed messages are still dropped.

--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -432,8 +432,9 @@
 		}
 		return "", false
 	}
-	// An incarnation is a start time, so messages of an earlier one are late.
-	if e.incarnation < p.incarnation || e.incarnation == p.incarnation && e.sequence <= p.sequence {
+	// An incarnation is a start time, so messages of an earlier one are late, unless the
+	// peer is silent: it may have started again after its time of day was set back.
+	if e.incarnation < p.incarnation && p.isActive() || e.incarnation == p.incarnation && e.sequence <= p.sequence {
 		return "", false
 	}
 	if e.incarnation != p.incarnation || !p.isActive() {
--- a/internal/node/pwpeering/peering_test.go
+++ b/internal/node/pwpeering/peering_test.go
@@ -316,6 +316,39 @@
 	}
 }
 
+// Guards against a process that its peers never hear again, because the time of day had
+// jumped ahead when it started before.
+func TestRestartWithEarlierClockIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNodes(2)
+		receiver := nodes[1].view
+		deliver := func(incarnation, sequence uint64) {
+			raw := encodeMessage(envelope{
+				incarnation: incarnation,
+				sequence:    sequence,
+				cell:        pwcell.Whole(),
+			}, Message{})
+			if err := nodes[1].handleMessage(raw, nodes[0].addr); err != nil {
+				t.Fatal(err)
+			}
+		}
+		deliver(9, 50)
+		for sequence := uint64(1); sequence < 100; sequence++ {
+			time.Sleep(DefaultHeartbeat)
+			deliver(7, sequence)
+		}
+		if receiver.mergeCount < 50 {
+			t.Errorf("%d of 100 messages merged, want those from %s after the last one of the earlier run", receiver.mergeCount, ActiveTimeout)
+		}
+		before := receiver.mergeCount
+		time.Sleep(ActiveTimeout)
+		deliver(7, 20)
+		if receiver.mergeCount != before {
+			t.Error("a replayed message was merged")
+		}
+	})
+}
+
 // A message from an address that no listed process has is not merged, but triggers a
 // reading of the list.
 func TestUnknownSenderIsNotMerged(t *testing.T) {
