Issue lease tokens above all that an acquirer has read

After the table had come back from an older copy, a lease could be acquired again with a fencing token that its lost holder still used, so that receivers of orders could not tell them apart. An acquirer now keeps the largest token that it has read or issued.

--- a/internal/state/pwlease/lease.go
+++ b/internal/state/pwlease/lease.go
@@ -1,6 +1,8 @@
 // Package pwlease implements leases with fencing tokens. A lease is one row in the
 // table that contains the holder, the expiry and a fencing token, which increases
-// with every acquisition. The row is never deleted, so that no token is issued twice.
+// with every acquisition. The row is never deleted, so that no token is issued twice. If
+// the table comes back from an older copy, an acquirer still issues tokens above all that
+// it has read.
 //
 // # Usage
 //
@@ -37,6 +39,7 @@
 	"encoding/json"
 	mathrand "math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
@@ -122,6 +125,9 @@
 type Acquirer struct {
 	table Table
 	cfg   Config
+	// seenToken is the largest token that this acquirer has read or issued. The row may come back
+	// from an older copy of the table.
+	seenToken atomic.Uint64
 }
 
 // New returns an acquirer of the lease cfg.Name, which is stored in the given table.
@@ -153,13 +159,14 @@
 		return row{
 			Holder:        a.cfg.Holder,
 			AcquisitionID: id,
-			Token:         cur.Token + 1,
+			Token:         a.seenToken.Load() + 1,
 			ExpiresAt:     now.Add(a.cfg.Term),
 		}, true, nil
 	})
 	if err != nil {
 		return nil, err
 	}
+	a.recordToken(last.Token)
 	return &Lease{
 		acquirer: a,
 		id:       id,
@@ -312,9 +319,17 @@
 	if err := json.Unmarshal(stored.Value, &cur); err != nil {
 		return row{}, 0, pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseInternal, "lease row could not be decoded")
 	}
+	a.recordToken(cur.Token)
 	return cur, stored.Version, nil
 }
 
+// recordToken keeps the largest token.
+func (a *Acquirer) recordToken(token uint64) {
+	for seen := a.seenToken.Load(); token > seen && !a.seenToken.CompareAndSwap(seen, token); {
+		seen = a.seenToken.Load()
+	}
+}
+
 func (a *Acquirer) writeRow(ctx context.Context, next row, expectedVersion uint64) error {
 	value, err := json.Marshal(next)
 	if err != nil {
--- a/internal/state/pwlease/lease_test.go
+++ b/internal/state/pwlease/lease_test.go
@@ -75,3 +75,44 @@
 	}
 	return fmt.Sprintf("%s %s", pwverdict.VerdictOf(err), pwverdict.CauseOf(err))
 }
+
+// Guards against a fencing token that is issued to two holders, because the table has come
+// back from a copy that is older than the first one's acquisition.
+func TestTokenIsNotIssuedTwiceAfterRestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := pwfakeplatform.NewTable()
+		acquirers := make(map[string]*pwlease.Acquirer)
+		for _, holder := range []string{"x", "y"} {
+			acquirers[holder] = pwlease.New(table, pwlease.Config{})
+		}
+		acquire := func(holder string) *pwlease.Lease {
+			l, err := acquirers[holder].Acquire(t.Context())
+			if err != nil {
+				t.Fatalf("%s: %v", holder, err)
+			}
+			return l
+		}
+		acquire("x")
+		older := table.Copy()
+		time.Sleep(pwlease.DefaultTerm)
+		first := acquire("x")
+		if _, err := acquirers["y"].Acquire(t.Context()); pwverdict.CauseOf(err) != pwverdict.CauseConflict {
+			t.Fatalf("y gets %v while x holds the lease, want a conflict", err)
+		}
+		table.Restore(older)
+		second := acquire("y")
+		if second.Token() <= first.Token() {
+			t.Errorf("y gets token %d after x got %d", second.Token(), first.Token())
+		}
+		guard := pwlease.NewGuard(acquirers["y"].NewestToken)
+		order := func(l *pwlease.Lease) error {
+			return guard.ApplyOrder(t.Context(), l.Token(), func(context.Context) error { return nil })
+		}
+		if err := order(second); err != nil {
+			t.Errorf("the order of the new holder: %v", err)
+		}
+		if err := order(first); pwverdict.CauseOf(err) != pwverdict.CauseStaleFence {
+			t.Errorf("the order of the lost holder: %v, want it refused", err)
+		}
+	})
+}
