Count one crash once under equal requests

Trace: desk-8 crashed once under two lookups with the same path, caller and body; the crashes were told apart by the identifiers of the callers' attempts, so the lookup counted as one that had crashed two servers. The gateway that had seen it serve elsewhere cleared it; the one that restarted learned only of the crashes and refused all such lookups.

Change: a crash is told apart by the start of the server that crashed.

Measured: TestOneCrashUnderEqualRequestsCountsOnce failed before (503, quarantined) and passes.

--- a/internal/fake/pwsoak/soak_test.go
+++ b/internal/fake/pwsoak/soak_test.go
@@ -21,6 +21,7 @@
 // regressions maps each seed that once failed to the fault that it found.
 var regressions = map[uint64]string{
 	6024: "with four model servers, the only one that neither left, rested nor was limited crashed during the recovery",
+	7002: "one crash of a server under two equal lookups counted twice, and the lookup was refused from then on",
 }
 
 // Guards against requests that run twice, are lost, or get the data of another
--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -155,7 +155,8 @@
 	crash := pwpeering.Crash{
 		Kind:        pwpeering.CrashOfRequest,
 		Fingerprint: x.fingerprint,
-		Attempt:     xxhash.Sum64String(x.metadata.ID + server.Address),
+		// Equal requests that ran on the server when it crashed name the same crash.
+		Attempt: hashIncarnation(server),
 	}
 	c.mergeRequestCrash(now, crash, now)
 	c.recent = append(c.recent, recentCrash{
--- a/internal/node/pwpeering/message.go
+++ b/internal/node/pwpeering/message.go
@@ -76,7 +76,7 @@
 	Depth uint8
 	// Fingerprint is a hash of the request's path, caller and body, or of the part.
 	Fingerprint uint64
-	// Attempt identifies the attempt, or for a part the server. It is 0 for a clearance.
+	// Attempt identifies the start of the server that crashed. It is 0 for a clearance.
 	Attempt uint64
 	// AgeMS is how long ago the crash or clearance was, in milliseconds.
 	AgeMS uint32
