--- a/internal/state/pwclaim/claim_test.go
+++ b/internal/state/pwclaim/claim_test.go
@@ -25,7 +25,17 @@
 			// Each process has its own store. A new process name stands for a
 			// restarted process.
 			stores := map[string]*pwclaim.Store{}
+			var tableCopy pwfakeplatform.TableCopy
 			datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+				switch d.Cmd {
+				case "copy":
+					tableCopy = table.Copy()
+					return "ok"
+				case "restore":
+					// The table comes back from the copy.
+					table.Restore(tableCopy)
+					return "ok"
+				}
 				return runScript(t, table, stores, d)
 			})
 		})
