Do not try servers first that have asked for rest

Each of 27 gateways tried each of the resting engines first again at the end of each rest, and needed a second send for the request. Change: asking for rest counts like a failure for the order in which engines are tried, until the server has served again; it is still used when others have no room.

Measured: TestEnginesThatRestedAreNotTriedFirst failed before (40 requests turned away in 30 s, want 4) and passes.

--- a/internal/core/pwfleet/rest.go
+++ b/internal/core/pwfleet/rest.go
@@ -11,13 +11,15 @@
 const restSpread = 0.25
 
 // RecordRest records that a server wants no request from this process for d, and reports
-// whether it did not rest already. A rest that ends later stays in force.
+// whether it did not rest already. A rest that ends later stays in force. Like after a
+// failure, the server is not among the first that are tried until it has served again.
 func (f *Fleet) RecordRest(now time.Time, id string, d time.Duration) (began bool) {
 	s := f.servers[id]
-	if s == nil || !now.Add(d).After(s.restsUntil) {
+	if s == nil || d <= 0 || !now.Add(d).After(s.restsUntil) {
 		return false
 	}
-	began = d > 0 && !now.Before(s.restsUntil)
+	began = !now.Before(s.restsUntil)
+	s.failureScore = max(s.failureScore, 1)
 	s.restsUntil = now.Add(d)
 	return began
 }
