--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -242,9 +242,9 @@
 	return late, early
 }
 
-// rejectForRest counts a request against what the server has stated to the entry that
-// sent it. It rejects the request if the server wants rest.
-func (b *backend) rejectForRest(w http.ResponseWriter, id string) bool {
+// countAndReject counts a request against what the server has stated to the entry that
+// sent it. It rejects the request, and returns true, if the server wants rest.
+func (b *backend) countAndReject(w http.ResponseWriter, id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	entry, sentAt := b.runs.origin(id)
@@ -302,11 +302,11 @@
 	if err != nil {
 		return
 	}
-	if b.rejectForRest(w, id) {
+	if b.countAndReject(w, id) {
 		return
 	}
 	b.runs.add(id)
-	b.stateLimit(h)
+	b.addStatements(h)
 	defer b.recordLeft(h, id)
 	h.Set("X-Response-Seal", "seal."+id)
 	if r.Header.Get("X-Token-Counts") != "" {
@@ -325,9 +325,9 @@
 	b.limit, b.arrivals = perSecond, nil
 }
 
-// stateLimit adds to the headers of an answer that the server leaves, and its limit, for
-// which it records the arrival.
-func (b *backend) stateLimit(h http.Header) {
+// addStatements adds to the headers of an answer what the server states: that it leaves, and
+// its limit, for which it records the arrival.
+func (b *backend) addStatements(h http.Header) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.leaving {
