--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -209,14 +209,13 @@
 // NewFollower returns a follower that reads source and passes changes to apply.
 func NewFollower[T any](source Source[T], cfg Config, obs *pwobserve.Observer, apply ApplyFunc[T]) *Follower[T] {
 	return &Follower[T]{
-		cfg:       cfg.withDefaults(),
-		source:    source,
-		obs:       obs,
-		apply:     apply,
-		startTime: time.Now(),
-		versions:  make(map[string]int64),
-		liveKeys:  make(map[string]bool),
-
+		cfg:         cfg.withDefaults(),
+		source:      source,
+		obs:         obs,
+		apply:       apply,
+		startTime:   time.Now(),
+		versions:    make(map[string]int64),
+		liveKeys:    make(map[string]bool),
 		unconfirmed: make(map[string]time.Time),
 	}
 }
@@ -417,11 +416,13 @@
 // applyNewer passes on the items that are newer than the last known versions.
 func (f *Follower[T]) applyNewer(items []Item[T]) {
 	newer := items[:0:0]
-	var known []string
+	known := 0
+	var firstKnown []string
 	for _, it := range items {
 		if it.Version < f.versions[it.Key] || it.Version == f.versions[it.Key] && f.liveKeys[it.Key] != it.Removed {
-			f.obs.Count("store_rows_known", 1)
-			known = append(known, it.Key+"@"+strconv.FormatInt(it.Version, 10))
+			if known++; known <= maxLoggedRows {
+				firstKnown = append(firstKnown, it.Key+"@"+strconv.FormatInt(it.Version, 10))
+			}
 			continue
 		}
 		f.versions[it.Key] = it.Version
@@ -436,9 +437,10 @@
 		}
 		newer = append(newer, it)
 	}
-	if len(known) > 0 {
-		f.obs.Info("known rows ignored", "table", f.cfg.Name, "count", strconv.Itoa(len(known)),
-			"first", strings.Join(known[:min(len(known), maxLoggedRows)], " "))
+	if known > 0 {
+		f.obs.Count("store_rows_known", int64(known))
+		f.obs.Info("known rows ignored", "table", f.cfg.Name, "count", strconv.Itoa(known),
+			"first", strings.Join(firstKnown, " "))
 	}
 	if len(newer) > 0 {
 		f.apply(newer, f.graceUntil)
--- a/internal/node/pwpeering/peering_test.go
+++ b/internal/node/pwpeering/peering_test.go
@@ -287,19 +287,23 @@
 	}
 }
 
+// deliverEmpty delivers a message without loads.
+func deliverEmpty(t *testing.T, from, to *node, incarnation, sequence uint64) {
+	t.Helper()
+	raw := encodeMessage(envelope{
+		incarnation: incarnation,
+		sequence:    sequence,
+		cell:        pwcell.Whole(),
+	}, Message{})
+	if err := to.handleMessage(raw, from.addr); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func TestStaleMessagesAreIgnored(t *testing.T) {
 	nodes := newNodes(2)
 	receiver := nodes[1].view
-	deliver := func(incarnation, sequence uint64) {
-		raw := encodeMessage(envelope{
-			incarnation: incarnation,
-			sequence:    sequence,
-			cell:        pwcell.Whole(),
-		}, Message{})
-		if err := nodes[1].handleMessage(raw, nodes[0].addr); err != nil {
-			t.Fatal(err)
-		}
-	}
+	deliver := func(incarnation, sequence uint64) { deliverEmpty(t, nodes[0], nodes[1], incarnation, sequence) }
 	for _, sequence := range []uint64{5, 5, 4, 6} {
 		deliver(1, sequence)
 	}
@@ -322,16 +326,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		nodes := newNodes(2)
 		receiver := nodes[1].view
-		deliver := func(incarnation, sequence uint64) {
-			raw := encodeMessage(envelope{
-				incarnation: incarnation,
-				sequence:    sequence,
-				cell:        pwcell.Whole(),
-			}, Message{})
-			if err := nodes[1].handleMessage(raw, nodes[0].addr); err != nil {
-				t.Fatal(err)
-			}
-		}
+		deliver := func(incarnation, sequence uint64) { deliverEmpty(t, nodes[0], nodes[1], incarnation, sequence) }
 		deliver(9, 50)
 		for sequence := uint64(1); sequence < 100; sequence++ {
 			time.Sleep(DefaultHeartbeat)
