Keep what a server states with the incarnation that stated it

Cause: a statement in an answer was recorded under the identifier of the server. If its entry was removed when the answer came, the statement was dropped, and the incarnation got requests again once its entry was written again or came from a restored store. If another incarnation had started under the same identifier, a late answer of the ended one kept the running one from work. A limit was forgotten with every removal.

Change: statements belong to an incarnation, listed or removed lately. Those of an incarnation that another has replaced are ignored.

--- a/internal/core/pwfleet/departure.go
+++ b/internal/core/pwfleet/departure.go
@@ -10,14 +10,36 @@
 // its store from copies that are younger.
 const departureRetention = 5 * time.Minute
 
+// statements holds what an incarnation of a server has stated about itself.
+type statements struct {
+	// leaving is set when the incarnation has announced that it leaves.
+	leaving bool
+	// Until restsUntil the server wants no requests from this process.
+	restsUntil time.Time
+	// limit is the limit that the server states or has lifted, or nil.
+	limit *requestLimit
+}
+
 // departure is what is remembered of a server that was removed.
 type departure struct {
+	statements
 	startUnixMS int64
-	// leaving is set if the server had announced that it leaves.
-	leaving bool
-	// restsUntil is the end of the rest that it had asked for.
-	restsUntil time.Time
-	at         time.Time
+	at          time.Time
+}
+
+// statementsOf returns the statements of the incarnation that info describes, also of one
+// that was removed, or nil if another one has taken its place or nothing is known of it.
+func (f *Fleet) statementsOf(info pwcatalog.BackendServer) *statements {
+	if s := f.servers[info.ID]; s != nil {
+		if s.info.StartUnixMS != info.StartUnixMS {
+			return nil
+		}
+		return &s.statements
+	}
+	if d := f.departed[info.ID]; d != nil && d.startUnixMS == info.StartUnixMS {
+		return &d.statements
+	}
+	return nil
 }
 
 // UpsertRestored adds or updates a server whose entry comes from a store that has come
@@ -25,34 +47,38 @@
 // or to have been replaced. One whose entry had been removed gets work again only after
 // confirmedAt, by which the platform removes entries that nobody writes again.
 func (f *Fleet) UpsertRestored(now time.Time, info pwcatalog.BackendServer, confirmedAt time.Time) {
+	var known departure
 	d, removed := f.departed[info.ID]
+	if removed {
+		known = *d
+	}
 	if s := f.servers[info.ID]; s != nil {
-		d = departure{
+		known = departure{
+			statements:  s.statements,
 			startUnixMS: s.info.StartUnixMS,
-			leaving:     s.leaving,
 		}
 		removed = !s.lapsesAt.IsZero() && now.After(s.lapsesAt) || now.Before(s.unconfirmedUntil)
-		if info.StartUnixMS < d.startUnixMS {
+		if info.StartUnixMS < known.startUnixMS {
 			return
 		}
 	}
 	f.Upsert(now, info)
-	if s := f.servers[info.ID]; d.startUnixMS >= info.StartUnixMS {
-		s.leaving = s.leaving || d.leaving
+	if s := f.servers[info.ID]; known.startUnixMS >= info.StartUnixMS {
+		s.leaving = s.leaving || known.leaving
 		if removed {
 			s.unconfirmedUntil = confirmedAt
 		}
 	}
 }
 
-// MarkLeaving marks a server that has stated that it leaves. This incarnation gets no more
-// work. MarkLeaving reports whether that is new.
-func (f *Fleet) MarkLeaving(id string) bool {
-	s := f.servers[id]
-	if s == nil || s.leaving {
+// MarkLeaving marks an incarnation that has stated that it leaves. It gets no more work.
+// MarkLeaving reports whether that is new.
+func (f *Fleet) MarkLeaving(info pwcatalog.BackendServer) bool {
+	st := f.statementsOf(info)
+	if st == nil || st.leaving {
 		return false
 	}
-	s.leaving = true
+	st.leaving = true
 	return true
 }
 
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -179,8 +179,7 @@
 	peerLoad   Load
 	coldUntil  time.Time
 	coldBucket tokenBucket
-	// limit is the limit that the server states or has lifted, or nil.
-	limit *requestLimit
+	statements
 	// sends counts the requests that this process has sent to the server.
 	sends sendCount
 	// failureScore grows by 1 with each failure and decays with successes.
@@ -203,10 +202,6 @@
 	lapsesAt time.Time
 	// replaced is set when another server responds at the address.
 	replaced bool
-	// leaving is set when this incarnation has announced that it leaves.
-	leaving bool
-	// Until restsUntil the server wants no requests from this process.
-	restsUntil time.Time
 	// Until unconfirmedUntil the server gets no work, because its entry may be older than
 	// its end.
 	unconfirmedUntil time.Time
@@ -253,7 +248,7 @@
 	byService map[string][]*server
 	peers     map[string]*peer
 	// departed holds the servers that were removed lately.
-	departed map[string]departure
+	departed map[string]*departure
 	// models and coldRate are keyed by service, evacuated by data centre.
 	models    map[string]pwcost.Model
 	coldRate  map[string]float64
@@ -282,7 +277,7 @@
 		byHash:           make(map[uint64]*server),
 		byService:        make(map[string][]*server),
 		peers:            make(map[string]*peer),
-		departed:         make(map[string]departure),
+		departed:         make(map[string]*departure),
 		models:           make(map[string]pwcost.Model),
 		coldRate:         make(map[string]float64),
 		evacuated:        make(map[string]bool),
@@ -337,7 +332,7 @@
 			hash: HashServerID(info.ID),
 		}
 		if d, ok := f.departed[info.ID]; ok && d.startUnixMS == info.StartUnixMS && info.StartUnixMS != 0 {
-			s.leaving, s.restsUntil = d.leaving, d.restsUntil
+			s.statements = d.statements
 		}
 		f.servers[info.ID] = s
 		f.byHash[s.hash] = s
@@ -352,8 +347,7 @@
 		s.failureScore, s.suspectUntil, s.fullUntil, s.replaced = 0, time.Time{}, time.Time{}, false
 		s.slowdown, s.slowUntil, s.slowDuration = movingMean{}, time.Time{}, 0
 		s.coldUntil, s.coldBucket = time.Time{}, tokenBucket{}
-		s.limit = nil
-		s.leaving, s.restsUntil = false, time.Time{}
+		s.statements = statements{}
 	}
 	if s.info.DataCentre != info.DataCentre {
 		f.cells.stale = true
@@ -383,10 +377,9 @@
 	if s == nil {
 		return
 	}
-	f.departed[id] = departure{
+	f.departed[id] = &departure{
+		statements:  s.statements,
 		startUnixMS: s.info.StartUnixMS,
-		leaving:     s.leaving,
-		restsUntil:  s.restsUntil,
 		at:          now,
 	}
 	delete(f.servers, id)
--- a/internal/core/pwfleet/limit.go
+++ b/internal/core/pwfleet/limit.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 )
 
 const (
@@ -102,14 +104,14 @@
 // isLimited reports whether the server states a limit.
 func (s *server) isLimited() bool { return s.limit != nil && !s.limit.lifted }
 
-// RecordLimit records that an answer of a server states a limit, or with limited unset
+// RecordLimit records that an answer of an incarnation states a limit, or with limited unset
 // that it states none. It reports whether that is a change.
-func (f *Fleet) RecordLimit(now time.Time, id string, perSecond float64, limited bool) (changed bool) {
-	s := f.servers[id]
-	if s == nil || s.limit == nil && !limited {
+func (f *Fleet) RecordLimit(now time.Time, info pwcatalog.BackendServer, perSecond float64, limited bool) (changed bool) {
+	st := f.statementsOf(info)
+	if st == nil || st.limit == nil && !limited {
 		return false
 	}
-	return s.setLimit(now, requestLimit{
+	return st.setLimit(now, requestLimit{
 		perSecond: perSecond,
 		lifted:    !limited,
 		statedAt:  now,
@@ -118,8 +120,8 @@
 }
 
 // setLimit replaces the limit and reports whether it has changed.
-func (s *server) setLimit(now time.Time, l requestLimit) (changed bool) {
-	before := s.limit
+func (st *statements) setLimit(now time.Time, l requestLimit) (changed bool) {
+	before := st.limit
 	changed = before == nil || before.lifted != l.lifted || !l.lifted && before.perSecond != l.perSecond
 	if before == nil || before.lifted {
 		// The bucket starts empty: the server has just got more than it takes.
@@ -130,7 +132,7 @@
 	} else {
 		l.bucket, l.peerSends = before.bucket, before.peerSends
 	}
-	s.limit = &l
+	st.limit = &l
 	return changed
 }
 
--- a/internal/core/pwfleet/limit_test.go
+++ b/internal/core/pwfleet/limit_test.go
@@ -71,7 +71,7 @@
 					sentAt = append(sentAt, 0)
 				}
 				for _, f := range fleets {
-					f.RecordLimit(start, "e-0", limit, true)
+					f.RecordLimit(start, listed("e-0", "model", "dc-0"), limit, true)
 				}
 				sentAt = append(sentAt, sendAll(fleets, time.Duration(seconds)*time.Second)...)
 				if most, allowed := mostWithin(sentAt, 4*time.Second), int(1.5*4*limit)+5; most > allowed {
@@ -99,10 +99,10 @@
 	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
 	report := func(from *Fleet, now time.Time) []LimitReport { return from.OwnLimits(now, 8) }
 
-	if a.RecordLimit(at(0), "e-0", 0, false) || len(report(a, at(0))) > 0 {
+	if a.RecordLimit(at(0), listed("e-0", "model", "dc-0"), 0, false) || len(report(a, at(0))) > 0 {
 		t.Error("an answer without a limit is a change")
 	}
-	if !a.RecordLimit(at(1), "e-0", 2, true) || a.RecordLimit(at(1), "e-0", 2, true) || !a.RecordLimit(at(2), "e-0", 3, true) {
+	if !a.RecordLimit(at(1), listed("e-0", "model", "dc-0"), 2, true) || a.RecordLimit(at(1), listed("e-0", "model", "dc-0"), 2, true) || !a.RecordLimit(at(2), listed("e-0", "model", "dc-0"), 3, true) {
 		t.Error("wrong changes of a stated limit")
 	}
 	stated := report(a, at(2))
@@ -118,7 +118,7 @@
 	if r := report(b, at(3)); len(r) != 1 || r[0].Stated || r[0].Sends != 1 {
 		t.Errorf("reports %+v", r)
 	}
-	a.RecordLimit(at(4), "e-0", 0, false)
+	a.RecordLimit(at(4), listed("e-0", "model", "dc-0"), 0, false)
 	lifted := report(a, at(4))
 	b.MergeLimits(at(4), "a", lifted)
 	b.MergeLimits(at(4), "a", stated)
@@ -127,7 +127,7 @@
 	if len(report(a, at(4).Add(limitReportTime+time.Millisecond))) > 0 {
 		t.Error("a lifted limit is reported for ever")
 	}
-	b.RecordLimit(at(5), "e-0", 1, true)
+	b.RecordLimit(at(5), listed("e-0", "model", "dc-0"), 1, true)
 	b.MergeLimits(at(5), "a", lifted)
 	check(b, 1, true)
 	// A server that has started again states its limit anew.
@@ -142,7 +142,7 @@
 func TestLimitCountsWhatPeersSent(t *testing.T) {
 	fleets := newLargeFleets(2, 1, rand.New(rand.NewPCG(4, 4)))
 	f := fleets[0]
-	f.RecordLimit(start, "e-0", 2, true)
+	f.RecordLimit(start, listed("e-0", "model", "dc-0"), 2, true)
 	now := start.Add(3 * time.Second)
 	f.MergeLimits(now, "front-1", []LimitReport{{
 		Server: HashServerID("e-0"),
@@ -175,7 +175,7 @@
 		MaxGap:          time.Second,
 	}
 	for i := range 6 {
-		f.RecordLimit(start, fmt.Sprint("e-", i), 5, true)
+		f.RecordLimit(start, listed(fmt.Sprint("e-", i), "model", "dc-0"), 5, true)
 	}
 	now := start.Add(time.Second)
 	p, err := f.Plan(now, long)
@@ -188,7 +188,7 @@
 		}
 	}
 	for i := range 12 {
-		f.RecordLimit(start, fmt.Sprint("e-", i), 5, true)
+		f.RecordLimit(start, listed(fmt.Sprint("e-", i), "model", "dc-0"), 5, true)
 	}
 	if _, err := f.Plan(now, long); err != nil {
 		t.Errorf("with limits at all servers: %v", err)
--- a/internal/core/pwfleet/rest.go
+++ b/internal/core/pwfleet/rest.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
 
@@ -10,17 +11,19 @@
 // end, so that they don't all come at once.
 const restSpread = 0.25
 
-// RecordRest records that a server wants no request from this process for d, and reports
+// RecordRest records that an incarnation wants no request from this process for d, and reports
 // whether it did not rest already. A rest that ends later stays in force. Like after a
 // failure, the server is not among the first that are tried until it has served again.
-func (f *Fleet) RecordRest(now time.Time, id string, d time.Duration) (began bool) {
-	s := f.servers[id]
-	if s == nil || d <= 0 || !now.Add(d).After(s.restsUntil) {
+func (f *Fleet) RecordRest(now time.Time, info pwcatalog.BackendServer, d time.Duration) (began bool) {
+	st := f.statementsOf(info)
+	if st == nil || d <= 0 || !now.Add(d).After(st.restsUntil) {
 		return false
 	}
-	began = !now.Before(s.restsUntil)
-	s.failureScore = max(s.failureScore, 1)
-	s.restsUntil = now.Add(d)
+	began = !now.Before(st.restsUntil)
+	st.restsUntil = now.Add(d)
+	if s := f.servers[info.ID]; s != nil {
+		s.failureScore = max(s.failureScore, 1)
+	}
 	return began
 }
 
--- a/internal/core/pwfleet/rest_test.go
+++ b/internal/core/pwfleet/rest_test.go
@@ -31,7 +31,7 @@
 				return a
 			}
 			rejected++
-			f.RecordRest(now, p.Server.ID, rest)
+			f.RecordRest(now, p.Server, rest)
 		}
 	}
 	now := start
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -176,7 +176,7 @@
 	}
 	changed := false
 	s.x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
-		changed = f.RecordLimit(now, s.plan.Server.ID, metadata.Limit, metadata.Limited)
+		changed = f.RecordLimit(now, s.plan.Server, metadata.Limit, metadata.Limited)
 	})
 	switch {
 	case !changed:
@@ -195,8 +195,8 @@
 	}
 	rests, leaves := false, false
 	s.x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
-		rests = f.RecordRest(now, s.plan.Server.ID, metadata.RetryAfter)
-		leaves = metadata.Leaving && f.MarkLeaving(s.plan.Server.ID)
+		rests = f.RecordRest(now, s.plan.Server, metadata.RetryAfter)
+		leaves = metadata.Leaving && f.MarkLeaving(s.plan.Server)
 	})
 	if rests {
 		s.x.g.obs.LogEvent("server_resting", s.x.logFields(
@@ -385,7 +385,7 @@
 			reserveErr = res.err
 			x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
 				if rest := pwverdict.AsError(res.err).RetryAfter(); rest > 0 {
-					f.RecordRest(now, res.r.Server.ID, rest)
+					f.RecordRest(now, res.r.Server, rest)
 				}
 				if pwverdict.CauseOf(res.err) == pwverdict.CauseOutOfService {
 					f.MarkReplaced(res.r.Server.ID)
