Test that orders which are turned away begin a rest

A server that turns an order away with Retry-After wants no requests either. The code did that since, without a test. With the header of order answers ignored on purpose the new test fails: a request reaches a server 9 s into its rest of 10 s.

--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -127,6 +127,8 @@
 	delay time.Duration
 	// misdirected holds the ids of servers whose address belongs to another server.
 	misdirected map[string]bool
+	// rest is the rest that all servers ask for when they turn a call of Reserve away.
+	rest time.Duration
 	// reserveCalls holds the calls of Reserve for each server, in order.
 	reserveCalls map[string][]reserveCall
 }
@@ -151,6 +153,9 @@
 	if e.misdirected[s.ID] {
 		return false, pwverdict.New(pwverdict.NotRun, pwverdict.CauseOutOfService, "%s is gone", s.ID)
 	}
+	if e.rest > 0 {
+		return false, pwverdict.New(pwverdict.NotRun, pwverdict.CauseUnavailable, "%s turns orders away", s.ID).WithRetryAfter(e.rest)
+	}
 	if e.full {
 		return false, nil
 	}
--- a/internal/node/pwgateway/rest_test.go
+++ b/internal/node/pwgateway/rest_test.go
@@ -214,6 +214,33 @@
 	})
 }
 
+// Guards against requests to a server that has asked for rest in its answer to an order.
+func TestServersThatTurnOrdersAwayGetNoRequests(t *testing.T) {
+	// The rest is longer than a server is avoided after a failure.
+	const rest = 10 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestingSite(t, "model", 2)
+		send := func(id, tokens string) int {
+			w, _ := s.sendRequest(context.Background(), "/note/"+id, "X-Attempt-Id", id, "X-Token-Counts", tokens)
+			return w.Code
+		}
+		s.engines.rest = rest
+		askedAt := time.Now()
+		if status := send("reserved", "300000,60"); status != http.StatusServiceUnavailable {
+			t.Fatalf("got %d for a prompt whose memory no engine reserves, want 503", status)
+		}
+		s.engines.rest = 0
+		time.Sleep(rest - time.Second - time.Since(askedAt))
+		if status := send("early", "3000,60"); status != http.StatusServiceUnavailable || len(s.received()) > 0 {
+			t.Errorf("got %d and %d requests reached servers during their rest, want 503 and none", status, len(s.received()))
+		}
+		time.Sleep(2 * time.Second)
+		if status := send("later", "3000,60"); status != http.StatusOK {
+			t.Errorf("got %d after the rest, want 200", status)
+		}
+	})
+}
+
 // Guards against a server that gets work before the end of its rest, because its entry was
 // removed and returned.
 func TestRestSurvivesRemovalOfEntry(t *testing.T) {
