Report only processes of the own cell as silent

Only listed processes of the own cell are reported now. The new test fails on the code before: 67 processes are reported instead of 16.

--- a/internal/core/pwfleet/cells_test.go
+++ b/internal/core/pwfleet/cells_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// Processes of other cells stop sending loads once all processes are listed. Guards against
+// reports that they have failed.
+func TestProcessesOfOtherCellsAreNotReportedAsSilent(t *testing.T) {
+	f := newLargeFleets(68, 195, rand.New(rand.NewPCG(2, 2)))[0]
+	for _, p := range newProcesses(68)[1:] {
+		f.SetPeerLoads(start, p.ID, nil)
+	}
+	_, peers := f.Cell()
+	silent := f.ExpirePeers(start.Add(DefaultPeerExpiry + time.Millisecond))
+	if len(silent) != len(peers) {
+		t.Errorf("%d processes are reported as silent, want the %d of the own cell", len(silent), len(peers))
+	}
+	if f.ProcessCount() != 1 {
+		t.Errorf("%d processes count as heard, want only the own one", f.ProcessCount())
+	}
+}
+
 // exchangeLoads delivers the loads that processes report to those of the same cell.
 func exchangeLoads(now time.Time, fleets []*Fleet) {
 	for j, from := range fleets {
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -452,16 +452,20 @@
 	}
 }
 
-// ExpirePeers removes the peers whose loads are older than Config.PeerExpiry and
-// returns their names.
-func (f *Fleet) ExpirePeers(now time.Time) (expired []string) {
+// ExpirePeers removes the peers whose loads are older than Config.PeerExpiry. It returns
+// the names of those in the own cell; the others are not expected to send loads.
+func (f *Fleet) ExpirePeers(now time.Time) (silent []string) {
+	_, inCell := f.Cell()
 	for name, p := range f.peers {
-		if now.Sub(p.receivedAt) > f.cfg.PeerExpiry {
-			f.removePeer(name)
-			expired = append(expired, name)
+		if now.Sub(p.receivedAt) <= f.cfg.PeerExpiry {
+			continue
+		}
+		f.removePeer(name)
+		if inCell[name] {
+			silent = append(silent, name)
 		}
 	}
-	return expired
+	return silent
 }
 
 func (f *Fleet) removePeer(name string) {
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -154,10 +154,10 @@
 
 func (d *dispatcher) maintain(now time.Time) {
 	d.mu.Lock()
-	expired := d.fleet.ExpirePeers(now)
+	silent := d.fleet.ExpirePeers(now)
 	d.fleet.ForgetDepartures(now)
 	d.mu.Unlock()
-	for _, name := range expired {
+	for _, name := range silent {
 		d.obs.LogEvent("peer_silent", log.Fields{
 			"peer": name,
 		})
