Let engines take short prompts up to longer iterations while slots are free

Cause: on the large fleet an iteration takes 72 ms and more before any prefill, so that the bound of 150 ms for an engine that gets a short prompt leaves room for two short prompts in prefill. A third one went to a further engine, which then decoded for seconds and could read long prompts in small parts only.

Change: the bound is 170 ms, and 150 ms as before while over half of all slots are taken or peers are not heard.

--- a/internal/cli/pwgatewaycommand/tuning.go
+++ b/internal/cli/pwgatewaycommand/tuning.go
@@ -23,9 +23,11 @@
 	// LogRequests enables log lines about ordinary requests. The default is true.
 	LogRequests bool `json:"log_requests"`
 	// ShortPrefillMS is the prefill time up to which a prompt counts as short.
-	// ShortIterationMS bounds the iteration of an engine that gets a short prompt.
-	ShortPrefillMS   float64 `json:"short_read_ms"`
-	ShortIterationMS float64 `json:"short_pass_ms"`
+	// ShortIterationMS bounds the iteration of an engine that gets a short prompt, and
+	// BusyShortIterationMS the same while more than BusyShare of all slots are taken.
+	ShortPrefillMS       float64 `json:"short_read_ms"`
+	ShortIterationMS     float64 `json:"short_pass_ms"`
+	BusyShortIterationMS float64 `json:"busy_short_pass_ms"`
 	// PartPrefillMS is the prefill time of the parts that long prompts are split into.
 	// MaxPrefillMS bounds the outstanding prefill of an engine. MaxHeavyPrefillMS is the
 	// larger bound for very long prompts on engines that decode nothing.
@@ -33,7 +35,7 @@
 	MaxPrefillMS      float64 `json:"lane_ms"`
 	MaxHeavyPrefillMS float64 `json:"heavy_ms"`
 	// ShortFill is the share of an engine's slots up to which short prompts are packed
-	// onto it, and BusyShortFill the share while more than BusyShare of all slots are taken.
+	// onto it, and BusyShortFill the same while more than BusyShare of all slots are taken.
 	ShortFill     float64 `json:"short_fill"`
 	BusyShortFill float64 `json:"busy_short_fill"`
 	BusyShare     float64 `json:"busy_share"`
@@ -93,6 +95,7 @@
 	}{
 		{name: "short_read_ms", value: t.ShortPrefillMS, max: maxMS},
 		{name: "short_pass_ms", value: t.ShortIterationMS, max: maxMS},
+		{name: "busy_short_pass_ms", value: t.BusyShortIterationMS, max: maxMS},
 		{name: "part_ms", value: t.PartPrefillMS, max: maxMS},
 		{name: "lane_ms", value: t.MaxPrefillMS, max: maxMS},
 		{name: "heavy_ms", value: t.MaxHeavyPrefillMS, max: maxMS},
@@ -116,15 +119,16 @@
 
 func (t Tuning) fleet() pwfleet.Config {
 	return pwfleet.Config{
-		ShortPrefillMS:    t.ShortPrefillMS,
-		ShortIterationMS:  t.ShortIterationMS,
-		PartPrefillMS:     t.PartPrefillMS,
-		MaxPrefillMS:      t.MaxPrefillMS,
-		MaxHeavyPrefillMS: t.MaxHeavyPrefillMS,
-		ShortFill:         t.ShortFill,
-		BusyShortFill:     t.BusyShortFill,
-		BusyShare:         t.BusyShare,
-		LoadAge:           time.Duration(t.LoadAgeMS * float64(time.Millisecond)),
+		ShortPrefillMS:       t.ShortPrefillMS,
+		ShortIterationMS:     t.ShortIterationMS,
+		BusyShortIterationMS: t.BusyShortIterationMS,
+		PartPrefillMS:        t.PartPrefillMS,
+		MaxPrefillMS:         t.MaxPrefillMS,
+		MaxHeavyPrefillMS:    t.MaxHeavyPrefillMS,
+		ShortFill:            t.ShortFill,
+		BusyShortFill:        t.BusyShortFill,
+		BusyShare:            t.BusyShare,
+		LoadAge:              time.Duration(t.LoadAgeMS * float64(time.Millisecond)),
 		Cells: pwcell.Config{
 			MinProcesses: t.CellProcesses,
 			MinServers:   t.CellServers,
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -37,9 +37,11 @@
 const (
 	// DefaultShortPrefillMS is the prefill time up to which a prompt counts as short.
 	DefaultShortPrefillMS = 150.0
-	// DefaultShortIterationMS bounds the iteration of an engine that gets a short prompt.
-	// It leaves the rest of a gap of 250 ms to prompts that arrive later.
-	DefaultShortIterationMS = 150.0
+	// DefaultShortIterationMS bounds the iteration of an engine that gets a short prompt,
+	// and DefaultBusyShortIterationMS the same while more than DefaultBusyShare of all
+	// slots are taken. The rest of a gap of 250 ms is left to prompts that arrive later.
+	DefaultShortIterationMS     = 170.0
+	DefaultBusyShortIterationMS = 150.0
 	// DefaultPartPrefillMS is the prefill time of the parts that long prompts are
 	// split into. It fits into an iteration of an engine that decodes short answers.
 	DefaultPartPrefillMS = 140.0
@@ -89,20 +91,21 @@
 
 // Config configures a Fleet. Zero fields take their defaults.
 type Config struct {
-	ShortPrefillMS    float64
-	ShortIterationMS  float64
-	PartPrefillMS     float64
-	MaxPrefillMS      float64
-	TightGap          time.Duration
-	MediumGap         time.Duration
-	LooseGap          time.Duration
-	GapShare          float64
-	FailurePenaltyMS  float64
-	MaxHeavyPrefillMS float64
-	MaxParts          int
-	ShortFill         float64
-	BusyShortFill     float64
-	BusyShare         float64
+	ShortPrefillMS       float64
+	ShortIterationMS     float64
+	BusyShortIterationMS float64
+	PartPrefillMS        float64
+	MaxPrefillMS         float64
+	TightGap             time.Duration
+	MediumGap            time.Duration
+	LooseGap             time.Duration
+	GapShare             float64
+	FailurePenaltyMS     float64
+	MaxHeavyPrefillMS    float64
+	MaxParts             int
+	ShortFill            float64
+	BusyShortFill        float64
+	BusyShare            float64
 	// RandIntN returns a number in [0, n); the default is rand.IntN.
 	RandIntN           func(n int) int
 	LoadAge            time.Duration
@@ -118,6 +121,7 @@
 func (cfg Config) withDefaults() Config {
 	pwdefault.SetUnlessPositive(&cfg.ShortPrefillMS, DefaultShortPrefillMS)
 	pwdefault.SetUnlessPositive(&cfg.ShortIterationMS, DefaultShortIterationMS)
+	pwdefault.SetUnlessPositive(&cfg.BusyShortIterationMS, DefaultBusyShortIterationMS)
 	pwdefault.SetUnlessPositive(&cfg.PartPrefillMS, DefaultPartPrefillMS)
 	pwdefault.SetUnlessPositive(&cfg.MaxPrefillMS, DefaultMaxPrefillMS)
 	pwdefault.SetUnlessPositive(&cfg.TightGap, DefaultTightGap)
--- a/internal/core/pwfleet/longest_test.go
+++ b/internal/core/pwfleet/longest_test.go
@@ -17,15 +17,29 @@
 	largeArchive = requestKind{perSecond: 7.3, meanTokens: 190_000, sigma: 0.55, maxTokens: 600_000, events: 11, firstTokenTarget: 3 * time.Second, maxGap: time.Second, value: 18}
 )
 
-// simulatePatience simulates a load on the engines of a cell. Requests that have waited for
-// patience are refused. It returns the requests of the last kind, the longest first.
-func simulatePatience(kinds []requestKind, patience time.Duration, seconds float64, seed uint64) []*simRequest {
-	const engines = 49
+// heavyLoads are the loads in which the longest prompts are refused: more long prompts than
+// usual beside more short ones.
+var heavyLoads = map[string][]requestKind{
+	"usual short prompts": {largeNote.scaled(1.3), largeCompare, largeArchive.scaled(1.05)},
+	"many short prompts":  {largeNote.scaled(2), largeCompare, largeArchive.scaled(0.6)},
+}
+
+// simulatePatience simulates a load on the engines of a cell for some seconds. Requests that
+// have waited for 4.2 s are refused, as the gateway does it. configure changes the
+// configuration of the fleet. It returns the requests of the last kind, the longest first.
+func simulatePatience(kinds []requestKind, configure func(*Config), seed uint64) []*simRequest {
+	const (
+		engines  = 49
+		patience = 4200 * time.Millisecond
+		seconds  = 20.0
+	)
 	rnd := rand.New(rand.NewPCG(seed, 7))
+	f := newLargeFleets(1, engines, rnd)[0]
+	configure(&f.cfg)
 	s := &simulation{
 		m: pwcost.New(largeEngine),
 		placement: &fleetPlacement{
-			f: newLargeFleets(1, engines, rnd)[0],
+			f: f,
 		},
 	}
 	for range engines {
@@ -50,34 +64,40 @@
 	return requests
 }
 
+// servedShares simulates a load several times and returns which shares of the prompts of the
+// last kind were served: of its longest tenth, and of all.
+func servedShares(kinds []requestKind, configure func(*Config)) (longestServed, allServed float64) {
+	const seeds = 6
+	var longest, all []*simRequest
+	for seed := range uint64(seeds) {
+		requests := simulatePatience(kinds, configure, seed)
+		longest = append(longest, requests[:len(requests)/10]...)
+		all = append(all, requests...)
+	}
+	served := func(list []*simRequest) float64 {
+		refused := slices.DeleteFunc(slices.Clone(list), func(r *simRequest) bool { return r.events > 0 })
+		return 1 - float64(len(refused))/float64(len(list))
+	}
+	return served(longest), served(all)
+}
+
 // Pattern: many long prompts beside the usual or twice the usual short ones. Shorter ones find
 // room as soon as a little is free, and the longest need many engines with room at once. The
-// users want the longest tenth of a kind to be served at least half as often as the kind.
+// users want the longest tenth of a kind to be served at least half as often as the kind. While
+// slots are free, engines take short prompts up to longer iterations than in a burst, so that
+// fewer engines decode; that must serve more of the longest prompts, at no cost to the others.
 func TestLongestPromptsAreServedUnderLoad(t *testing.T) {
-	const (
-		patience = 4200 * time.Millisecond
-		seconds  = 20.0
-		seeds    = 6
-	)
-	for name, kinds := range map[string][]requestKind{
-		"usual short prompts": {largeNote.scaled(1.3), largeCompare, largeArchive.scaled(1.05)},
-		"many short prompts":  {largeNote.scaled(2), largeCompare, largeArchive.scaled(0.6)},
-	} {
+	for name, kinds := range heavyLoads {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			var longest, all []*simRequest
-			for seed := range uint64(seeds) {
-				requests := simulatePatience(kinds, patience, seconds, seed)
-				longest = append(longest, requests[:len(requests)/10]...)
-				all = append(all, requests...)
-			}
-			served := func(list []*simRequest) float64 {
-				refused := slices.DeleteFunc(slices.Clone(list), func(r *simRequest) bool { return r.events > 0 })
-				return 1 - float64(len(refused))/float64(len(list))
+			longest, all := servedShares(kinds, func(*Config) {})
+			longestBefore, allBefore := servedShares(kinds, func(cfg *Config) { cfg.ShortIterationMS = cfg.BusyShortIterationMS })
+			t.Logf("%.3f of the longest tenth and %.3f of all were served, with short iterations %.3f and %.3f", longest, all, longestBefore, allBefore)
+			if longest < all/2 {
+				t.Errorf("%.3f of the longest tenth were served and %.3f of all, want half of that at least", longest, all)
 			}
-			t.Logf("%.2f of the longest tenth and %.2f of all were served", served(longest), served(all))
-			if served(longest) < served(all)/2 {
-				t.Errorf("%.2f of the longest tenth were served and %.2f of all, want half of that at least", served(longest), served(all))
+			if longest <= longestBefore || all < allBefore {
+				t.Errorf("%.3f of the longest tenth and %.3f of all were served, want more than %.3f and %.3f", longest, all, longestBefore, allBefore)
 			}
 		})
 	}
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -258,7 +258,8 @@
 func (f *Fleet) planShort(now time.Time, r Request, m pwcost.Model, cands []*server) (Plan, error) {
 	prefillMS := m.PrefillMS(r.PromptTokens)
 	slots := max(1, m.Engine().Slots)
-	maxRequests := max(1, int(f.shortFill(cands, slots)*float64(slots)))
+	fill, maxIterationMS := f.shortBounds(cands, slots)
+	maxRequests := max(1, int(fill*float64(slots)))
 	// The draw spreads the requests that other processes have just sent, in the same
 	// order, over as many engines.
 	window := min(len(cands), 1+int(math.Ceil(f.unseenRequests(now))))
@@ -270,7 +271,7 @@
 			continue
 		}
 		iterationMS := m.IterationMS(l.Requests+1, l.MemoryTokens+r.PromptTokens, l.PrefillMS+prefillMS)
-		if iterationMS > f.cfg.ShortIterationMS || l.Requests >= maxRequests || s.failureScore >= 1 {
+		if iterationMS > maxIterationMS || l.Requests >= maxRequests || s.failureScore >= 1 {
 			others = append(others, loadedServer{
 				server:      s,
 				iterationMS: iterationMS + shortFailurePenaltyMS*s.failureScore,
@@ -301,19 +302,19 @@
 	return f.newShortPlan(r, pool[i], prefillMS, reason), nil
 }
 
-// shortFill returns the fraction of its slots up to which an engine is filled with short
-// prompts before the next one. Full engines leave others free for long prompts. While many
-// slots are taken anyway, or peers are not heard, more slots are kept for requests that
-// this process does not see.
-func (f *Fleet) shortFill(cands []*server, slots int) float64 {
+// shortBounds returns up to which fraction of its slots and up to which iteration an engine
+// is filled with short prompts before the next one. Full engines leave others free for long
+// prompts. While many slots are taken anyway, or peers are not heard, more is left for
+// requests that this process does not see.
+func (f *Fleet) shortBounds(cands []*server, slots int) (fill, iterationMS float64) {
 	requests := 0
 	for _, s := range cands {
 		requests += s.load().Requests
 	}
 	if float64(requests) > f.cfg.BusyShare*float64(slots*len(cands)) || f.unheardShare() >= minShuffleShare {
-		return f.cfg.BusyShortFill
+		return f.cfg.BusyShortFill, f.cfg.BusyShortIterationMS
 	}
-	return f.cfg.ShortFill
+	return f.cfg.ShortFill, f.cfg.ShortIterationMS
 }
 
 // shortFailurePenaltyMS is the iteration time by which each point of an engine's failure
