Compare eras of the store in one place

Era.Advance does it for both; no decision changes. Tests of pwcontrol, pwpeering, pwgateway and platform pass.

--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -67,12 +67,21 @@
 	return e.stated && other.stated && e.number > other.number
 }
 
-// Or returns e if it is known, and other if not.
-func (e Era) Or(other Era) Era {
-	if e.stated {
-		return e
+// ErrEarlierEra is the error for a response of an era before that of an earlier response.
+var ErrEarlierEra = errors.New("the store responded from an earlier era")
+
+// Advance sets e, the latest known era, to that of a response. It reports whether the
+// response shows that the store has come back from an older copy, and returns
+// ErrEarlierEra for a response from before the last such return.
+func (e *Era) Advance(response Era) (restored bool, err error) {
+	if e.After(response) {
+		return false, ErrEarlierEra
 	}
-	return other
+	restored = response.After(*e)
+	if response.stated {
+		*e = response
+	}
+	return restored, nil
 }
 
 func (e Era) String() string {
@@ -372,18 +381,14 @@
 	}
 }
 
-// ErrEarlierEra is the error for a response of an era before that of an earlier response.
-var ErrEarlierEra = errors.New("the store responded from an earlier era")
-
 // checkEra reports whether a response shows that the store has come back from an older
 // copy. The table must then be listed again. It returns an error for a response from
 // before the last such return.
 func (f *Follower[T]) checkEra(era Era) (restored bool, err error) {
-	if f.era.After(era) {
-		return false, ErrEarlierEra
-	}
-	if restored = era.After(f.era); restored {
-		f.obs.Info("store restored", "table", f.cfg.Name, "era", era.String(), "known_era", f.era.String(),
+	known := f.era
+	restored, err = f.era.Advance(era)
+	if restored {
+		f.obs.Info("store restored", "table", f.cfg.Name, "era", era.String(), "known_era", known.String(),
 			"known_version", strconv.FormatInt(f.version, 10))
 		f.obs.Count("store_restores", 1)
 		clear(f.versions)
@@ -392,8 +397,7 @@
 			f.cfg.OnRestore()
 		}
 	}
-	f.era = era.Or(f.era)
-	return restored, nil
+	return restored, err
 }
 
 // removeUnconfirmed passes on the removal of the rows that nobody has written again since
--- a/internal/node/pwpeering/directory.go
+++ b/internal/node/pwpeering/directory.go
@@ -184,17 +184,15 @@
 // checkEra makes this process register again if the store has come back from an older
 // copy. It returns an error for a response from before that.
 func (d *Directory) checkEra(era pwcontrol.Era) error {
-	if d.era.After(era) {
-		return pwcontrol.ErrEarlierEra
-	}
-	if era.After(d.era) {
-		d.obs.Info("list of processes restored", "era", era.String(), "known_era", d.era.String())
+	known := d.era
+	restored, err := d.era.Advance(era)
+	if restored {
+		d.obs.Info("list of processes restored", "era", era.String(), "known_era", known.String())
 		d.registeredAt = time.Time{}
 		d.keepUntil = time.Now().Add(restoreGrace)
 		d.shortDelays = initialReadDelays
 	}
-	d.era = era.Or(d.era)
-	return nil
+	return err
 }
 
 // keepLost adds the processes that a restored store lacks to the listed ones, until they
