Send nothing to an ended server whose address another one has taken

Callers: requests turned away at once with 421 and repeated elsewhere.

Cause, from the log: these requests were for i-ce5bfcd6ea, which had run at the same address, had crashed, and was listed until 7.97 s. The new server was listed from 6.61 s on. Requests to the ended one reach it, and count, although it answers 421. The first 421 takes the ended one out; two more requests were on their way.

Change: of the servers that are listed at one address, only the one that started last gets work. Entries without a start are left as they are.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -211,8 +211,10 @@
 	// lapsesAt is the time from which a server that is no longer listed gets no
 	// work; it is zero while the server is listed.
 	lapsesAt time.Time
-	// replaced is set when another server responds at the address.
-	replaced bool
+	// replaced is set when another server responds at the address, and superseded while a
+	// server with a later start is listed there.
+	replaced   bool
+	superseded bool
 	// Until unconfirmedUntil the server gets no work, because its entry may be older than
 	// its end.
 	unconfirmedUntil time.Time
@@ -254,6 +256,9 @@
 	cfg     Config
 	servers map[string]*server
 	byHash  map[uint64]*server
+	// byAddress holds the listed servers at each address: besides the running one, those
+	// that have ended and whose entries have not expired.
+	byAddress map[string][]*server
 	// byService holds the servers of each service, sorted by hash, which is the order
 	// in which all processes fill them.
 	byService map[string][]*server
@@ -286,6 +291,7 @@
 		cfg:              cfg.withDefaults(),
 		servers:          make(map[string]*server),
 		byHash:           make(map[uint64]*server),
+		byAddress:        make(map[string][]*server),
 		byService:        make(map[string][]*server),
 		peers:            make(map[string]*peer),
 		departed:         make(map[string]*departure),
@@ -365,7 +371,9 @@
 	}
 	// Without a start time, a ready entry after a draining one stands for a new incarnation.
 	s.leaving = info.Draining || s.leaving && (info.StartUnixMS != 0 || !s.info.Draining)
+	f.removeAddress(s)
 	s.info = info
+	f.addAddress(s)
 	s.lapsesAt, s.unconfirmedUntil = time.Time{}, time.Time{}
 	s.replaced = false
 	delete(f.departed, info.ID)
@@ -395,6 +403,7 @@
 	}
 	delete(f.servers, id)
 	delete(f.byHash, s.hash)
+	f.removeAddress(s)
 	f.cells.stale = true
 	servers := f.byService[s.info.Service]
 	f.byService[s.info.Service] = slices.DeleteFunc(slices.Clone(servers), func(o *server) bool { return o == s })
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -115,7 +115,7 @@
 // before, or "" if it may get some.
 func (f *Fleet) closedReason(now time.Time, s *server) string {
 	switch {
-	case s.replaced:
+	case s.replaced || s.superseded:
 		return reasonGone
 	case s.leaving:
 		return reasonDraining
