Keep the rest that a server asks for before its new entry arrives

Cause: a server may start again under its identifier and be asked through its old entry, which is newer by up to a batch delay and an answer of the store. If it asked for rest then, the arrival of its new entry ended the rest; if the entry arrived while the request was on its way, the rest was ignored.

Change: a rest that was asked for after the start that the new entry states stays in force. The clocks of servers and gateways may differ; then the rest ends early, as before, or a server is left alone for at most its rest. Leaving is not carried over: a wrong guess would keep the new incarnation from work for good.

TestRestAskedForBeforeEntryOfNewIncarnationHolds fails in 3 of 3 cases on the code before. TestRestEndsWithIncarnation gave the new incarnation a start in 1970, long before the rest; it starts after the rest now, as on the platform, and checks the same.

--- a/internal/core/pwfleet/departure.go
+++ b/internal/core/pwfleet/departure.go
@@ -14,12 +14,32 @@
 type statements struct {
 	// leaving is set when the incarnation has announced that it leaves.
 	leaving bool
-	// Until restsUntil the server wants no requests from this process.
-	restsUntil time.Time
+	// Until restsUntil the server wants no requests from this process, as it stated last at
+	// restAskedAt.
+	restsUntil  time.Time
+	restAskedAt time.Time
 	// limit is the limit that the server states or has lifted, or nil.
 	limit *requestLimit
 }
 
+// carryOver returns what remains in force of the statements once an incarnation with the
+// given start is listed under the same identifier. That one may have asked for rest before
+// its entry arrived.
+func (st statements) carryOver(startUnixMS int64) statements {
+	if !hasStarted(startUnixMS, st.restAskedAt) {
+		return statements{}
+	}
+	return statements{
+		restsUntil:  st.restsUntil,
+		restAskedAt: st.restAskedAt,
+	}
+}
+
+// hasStarted reports whether an incarnation with a known start ran at the given time.
+func hasStarted(startUnixMS int64, at time.Time) bool {
+	return startUnixMS != 0 && at.UnixMilli() >= startUnixMS
+}
+
 // departure is what is remembered of a server that was removed.
 type departure struct {
 	statements
--- a/internal/core/pwfleet/departure_test.go
+++ b/internal/core/pwfleet/departure_test.go
@@ -39,12 +39,48 @@
 	}
 }
 
-// startedAgain returns the entry of the next incarnation of a server.
+// startedAgain returns the entry of the next incarnation of a server, which starts after the
+// answers that the tests record.
 func startedAgain(s pwcatalog.BackendServer) pwcatalog.BackendServer {
-	s.StartUnixMS++
+	s.StartUnixMS = start.Add(time.Second).UnixMilli()
 	return s
 }
 
+// Guards against requests to a server that has asked for rest just after its start, when the
+// entry of the incarnation before was still listed under its identifier, or removed.
+func TestRestAskedForBeforeEntryOfNewIncarnationHolds(t *testing.T) {
+	ended := listed("e-0", "model", "hakata")
+	running := startedAgain(ended)
+	askedAt := start.Add(1500 * time.Millisecond)
+	for name, record := range map[string]func(*Fleet){
+		"answer before the entry": func(f *Fleet) {
+			f.RecordRest(askedAt, ended, time.Minute)
+			f.Upsert(askedAt, running)
+		},
+		"answer after the removal": func(f *Fleet) {
+			f.Remove(askedAt, ended.ID)
+			f.RecordRest(askedAt, ended, time.Minute)
+			f.Upsert(askedAt, running)
+		},
+		"answer after the entry": func(f *Fleet) {
+			f.Upsert(askedAt, running)
+			f.RecordRest(askedAt, ended, time.Minute)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newTestFleet(0)
+			f.Upsert(start, ended)
+			record(f)
+			if err := f.CheckSend(askedAt.Add(59*time.Second), running.ID); err == nil {
+				t.Error("the server gets work during its rest")
+			}
+			if err := f.CheckSend(askedAt.Add(time.Minute), running.ID); err != nil {
+				t.Errorf("the server gets no work after its rest: %v", err)
+			}
+		})
+	}
+}
+
 // Guards against a late answer of an ended incarnation that keeps the one that has started
 // under the same identifier without work.
 func TestStatementsOfEarlierIncarnationsDoNotCount(t *testing.T) {
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -348,8 +348,11 @@
 		s = &server{
 			hash: HashServerID(info.ID),
 		}
-		if d, ok := f.departed[info.ID]; ok && d.startUnixMS == info.StartUnixMS && info.StartUnixMS != 0 {
+		if d, ok := f.departed[info.ID]; ok {
 			s.statements = d.statements
+			if d.startUnixMS != info.StartUnixMS || info.StartUnixMS == 0 {
+				s.statements = d.carryOver(info.StartUnixMS)
+			}
 		}
 		f.servers[info.ID] = s
 		f.byHash[s.hash] = s
@@ -364,7 +367,7 @@
 		s.failureScore, s.suspectUntil, s.fullUntil, s.replaced = 0, time.Time{}, time.Time{}, false
 		s.slowdown, s.slowUntil, s.slowDuration = movingMean{}, time.Time{}, 0
 		s.coldUntil, s.coldBucket = time.Time{}, tokenBucket{}
-		s.statements = statements{}
+		s.statements = s.carryOver(info.StartUnixMS)
 	}
 	if s.info.DataCentre != info.DataCentre {
 		f.cells.stale = true
--- a/internal/core/pwfleet/rest.go
+++ b/internal/core/pwfleet/rest.go
@@ -16,11 +16,15 @@
 // failure, the server is not among the first that are tried until it has served again.
 func (f *Fleet) RecordRest(now time.Time, info pwcatalog.BackendServer, d time.Duration) (began bool) {
 	st := f.statementsOf(info)
+	if s := f.servers[info.ID]; st == nil && s != nil && hasStarted(s.info.StartUnixMS, now) {
+		// The entry of the incarnation that responded has arrived since the request was placed.
+		st = &s.statements
+	}
 	if st == nil || d <= 0 || !now.Add(d).After(st.restsUntil) {
 		return false
 	}
 	began = !now.Before(st.restsUntil)
-	st.restsUntil = now.Add(d)
+	st.restsUntil, st.restAskedAt = now.Add(d), now
 	if s := f.servers[info.ID]; s != nil {
 		s.failureScore = max(s.failureScore, 1)
 	}
--- a/internal/node/pwgateway/rest_test.go
+++ b/internal/node/pwgateway/rest_test.go
@@ -280,6 +280,7 @@
 		if w, _ := s.sendRequest(context.Background(), "/view/2"); w.Code != http.StatusServiceUnavailable {
 			t.Fatalf("got %d while the only server rests, want 503", w.Code)
 		}
+		time.Sleep(time.Second)
 		s.gateway.ApplyServers([]pwcontrol.Item[pwcatalog.BackendServer]{{
 			Key: "desk-0",
 			Value: pwcatalog.BackendServer{
@@ -287,7 +288,7 @@
 				Service:     "desk",
 				Address:     "desk-0",
 				DataCentre:  "hakata",
-				StartUnixMS: 7,
+				StartUnixMS: time.Now().UnixMilli(),
 			},
 		}}, time.Time{})
 		if w, _ := s.sendRequest(context.Background(), "/view/3"); w.Code != http.StatusOK {
