--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -19,7 +19,8 @@
 
 // cases holds the scripts by name.
 var cases = map[string]func(rec *recorder, dir string, trouble bool) (bool, error){
-	"revoke": runRevoke,
+	"revoke":  runRevoke,
+	"version": runVersion,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/standins/revoke.go
+++ b/review/standins/revoke.go
@@ -101,11 +101,6 @@
 		}
 		fronts = append(fronts, f)
 	}
-	for _, f := range fronts {
-		if err := f.awaitReady(15 * time.Second); err != nil {
-			return false, err
-		}
-	}
 	time.Sleep(2 * time.Second)
 	for i, f := range fronts {
 		if status := book(rec, f, fmt.Sprintf("before-%d", i), "key0a"); status != http.StatusOK {
--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -110,46 +111,62 @@
 platform.blob-mb-per-s=80.0
 `
 
-// freePort returns a port that is free for TCP and UDP. Another program may still take it
-// before it is used; the script then ends with 2.
+// firstPort and portCount are the range of the gateways' ports, below the one from which the
+// kernel takes the ports of outgoing connections.
+const (
+	firstPort = 12_000
+	portCount = 20_000
+	// launchTries is how often a gateway is started with other ports, because another program
+	// may take one in the meantime.
+	launchTries = 5
+)
+
+// freePort returns a port that is free for TCP and UDP.
 func freePort() (int, error) {
-	for range 100 {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+	for range 1000 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		l, err := net.Listen("tcp4", address)
 		if err != nil {
-			return 0, err
+			continue
 		}
-		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp4", fmt.Sprintf("127.0.0.1:%d", port))
+		u, err := net.ListenPacket("udp4", address)
 		_ = l.Close()
 		if err == nil {
 			_ = u.Close()
-			return port, nil
+			return l.Addr().(*net.TCPAddr).Port, nil
 		}
 	}
 	return 0, fmt.Errorf("no free port found")
 }
 
-// newFront writes the settings of a gateway and starts it.
+// newFront writes the settings of a gateway, starts it and waits until it is ready.
 func newFront(dir, name, zone, storeAddress string) (*front, error) {
-	var ports [3]int
-	for i := range ports {
-		p, err := freePort()
-		if err != nil {
-			return nil, err
-		}
-		ports[i] = p
-	}
 	f := &front{
-		name:    name,
-		callers: fmt.Sprintf("127.0.0.1:%d", ports[0]),
-		ready:   fmt.Sprintf("127.0.0.1:%d", ports[1]),
-		dir:     dir,
+		name: name,
+		dir:  dir,
 	}
-	settings := fmt.Sprintf(settingsFormat, name, zone, f.callers, f.ready, ports[2], storeAddress)
-	if err := os.WriteFile(f.settings(), []byte(settings), 0o600); err != nil {
-		return nil, err
+	var err error
+	for range launchTries {
+		var ports [3]int
+		for i := range ports {
+			if ports[i], err = freePort(); err != nil {
+				return nil, err
+			}
+		}
+		f.callers, f.ready = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
+		settings := fmt.Sprintf(settingsFormat, name, zone, f.callers, f.ready, ports[2], storeAddress)
+		if err = os.WriteFile(f.settings(), []byte(settings), 0o600); err != nil {
+			return nil, err
+		}
+		if err = f.launch(); err != nil {
+			return nil, err
+		}
+		if err = f.awaitReady(5 * time.Second); err == nil {
+			return f, nil
+		}
+		f.stop()
 	}
-	return f, f.launch()
+	return nil, err
 }
 
 func (f *front) settings() string { return filepath.Join(f.dir, f.name+".conf") }
@@ -216,6 +233,11 @@
 				return nil
 			}
 		}
+		select {
+		case <-f.exited:
+			return fmt.Errorf("%s has ended", f.name)
+		default:
+		}
 	}
 	return fmt.Errorf("%s is not ready after %s", f.name, within)
 }
