Show that another writer's entry hides a sound server

The review's third case: an entry of a service that the configuration doesn't name takes the place of the running server at its address, because it says that it started later.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(rec *recorder, dir string, trouble bool) (bool, error){
 	"revoke":  runRevoke,
 	"version": runVersion,
+	"odd":     runOdd,
 }
 
 func main() { os.Exit(runCase()) }
