Show that a caller that leaves in an orderly way gets a success

The review's fourth case: a caller that shuts its side of the connection down and reads on gets an empty 200 that no server has signed.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -22,6 +22,7 @@
 	"revoke":  runRevoke,
 	"version": runVersion,
 	"odd":     runOdd,
+	"leave":   runLeave,
 }
 
 func main() { os.Exit(runCase()) }
