--- a/review/standins/site.go
+++ b/review/standins/site.go
@@ -175,12 +175,15 @@
 var (
 	startedMu sync.Mutex
 	started   = make(map[*exec.Cmd]bool)
+	// ending is set once the script ends and starts no more processes.
+	ending bool
 )
 
 // stopAll ends the processes that still run.
 func stopAll() {
 	startedMu.Lock()
 	defer startedMu.Unlock()
+	ending = true
 	for cmd := range started {
 		_ = cmd.Process.Signal(syscall.SIGCONT)
 		_ = cmd.Process.Kill()
@@ -196,13 +199,18 @@
 	cmd := exec.Command("target/pomeloweir", "gateway", "--tuning", "deploy/gateway.json")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "POMELOWEIR_CONFIG=" + f.settings()}
 	cmd.Stdout, cmd.Stderr = log, log
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	if ending {
+		_ = log.Close()
+		return fmt.Errorf("the script ends")
+	}
 	if err := cmd.Start(); err != nil {
+		_ = log.Close()
 		return err
 	}
 	f.cmd, f.exited = cmd, make(chan struct{})
-	startedMu.Lock()
 	started[cmd] = true
-	startedMu.Unlock()
 	go func(done chan struct{}) {
 		_ = cmd.Wait()
 		startedMu.Lock()
