Ask for keys also after the last one has been revoked

An empty list meant "nobody" and was read as "nothing to check".

Change: the catalog holds whether requests need a key, apart from the keys.

--- a/internal/core/pwcatalog/catalog.go
+++ b/internal/core/pwcatalog/catalog.go
@@ -152,6 +152,9 @@
 	Routes     []Route
 	Services   []Service
 	Workspaces []WorkspaceSpec
+	// RequireKey is set if requests need a key even though Workspaces is empty, which then
+	// admits nobody. With workspaces, requests always need a key.
+	RequireKey bool
 	Limits     Limits
 }
 
@@ -163,6 +166,7 @@
 	services map[string]*Service
 	// workspaces holds the workspaces by key.
 	workspaces  map[string]*Workspace
+	requiresKey bool
 	serviceList []Service
 	limits      Limits
 	routeCount  int
@@ -176,6 +180,7 @@
 		routes:      make(map[string]map[string]*Route),
 		services:    make(map[string]*Service, len(spec.Services)),
 		workspaces:  make(map[string]*Workspace),
+		requiresKey: spec.RequireKey || len(spec.Workspaces) > 0,
 		serviceList: spec.Services,
 		limits:      spec.Limits,
 		routeCount:  len(spec.Routes),
@@ -209,9 +214,9 @@
 // RouteCount returns the number of routes.
 func (c *Catalog) RouteCount() int { return c.routeCount }
 
-// RequiresKey reports whether requests need a key, which they do if any workspace has
-// one.
-func (c *Catalog) RequiresKey() bool { return len(c.workspaces) > 0 }
+// RequiresKey reports whether requests need a key. It does not depend on whether any
+// workspace has one: the revocation of the last key must not admit everybody.
+func (c *Catalog) RequiresKey() bool { return c.requiresKey }
 
 // Route returns the route of the host whose prefix is the longest that path begins
 // with. Prefixes end with a slash, so only the parts of path that end with a slash are
--- a/internal/core/pwcatalog/diff.go
+++ b/internal/core/pwcatalog/diff.go
@@ -97,6 +97,9 @@
 			out = append(out, "+ service "+newer.serviceList[i].Name)
 		}
 	}
+	if c.requiresKey != newer.requiresKey {
+		out = append(out, fmt.Sprintf("requests need a key: %t to %t", c.requiresKey, newer.requiresKey))
+	}
 	added, removed := 0, 0
 	for key := range newer.workspaces {
 		if c.workspaces[key] == nil {
--- /dev/null
+++ b/internal/node/pwgateway/keys_test.go
@@ -0,0 +1,72 @@
+package pwgateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/pomeloweir/pomeloweir/platform"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+)
+
+// mustParseConfig returns the catalog of a configuration as operators write it. Its
+// routes are /book/, which needs a key if the configuration asks for keys, and the public
+// route /open/. fields holds further fields of the configuration.
+func mustParseConfig(t *testing.T, version int, fields string) *pwcatalog.Catalog {
+	t.Helper()
+	c, err := platform.ParseConfiguration(fmt.Appendf(nil, `{"version":%d,"services":[{"name":"desk"}],"routes":[
+		{"name":"book","host":"h.example","prefix":"/book/","kind":"unsafe","service":"desk"},
+		{"name":"open","host":"h.example","prefix":"/open/","kind":"unsafe","service":"desk","public":true}]%s}`, version, fields))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against gateways that run every request, and pass its key on, once the last key
+// has been revoked (review/1, UNASKED).
+func TestRevokedLastKeyAdmitsNobody(t *testing.T) {
+	for name, tc := range map[string]struct {
+		tenants string
+		// status is the status of requests with a revoked or unknown key.
+		status int
+	}{
+		"a tenant with a key":     {tenants: `,"tenants":[{"name":"ward-3","keys":["k2"]}]`, status: http.StatusUnauthorized},
+		"tenants without keys":    {tenants: `,"tenants":[{"name":"ward-3","keys":[]},{"name":"ward-4"}]`, status: http.StatusUnauthorized},
+		"a tenant with null keys": {tenants: `,"tenants":[{"name":"ward-3","keys":null}]`, status: http.StatusUnauthorized},
+		"no tenant left":          {tenants: `,"tenants":[]`, status: http.StatusUnauthorized},
+		"no tenants":              {tenants: ``, status: http.StatusOK},
+		"null tenants":            {tenants: `,"tenants":null`, status: http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, map[string]*backend{
+					"desk-1": newBackend(respond(200, "", "booked")),
+				})
+				f.gateway.SetCatalog(mustParseConfig(t, 2, tc.tenants))
+				for _, key := range []string{"Bearer k1", "Bearer never-a-key", "Bearer ", ""} {
+					w, _ := f.sendRequest(t.Context(), "/book/1", "Authorization", key)
+					requireStatus(t, w, tc.status)
+				}
+				received := f.backends["desk-1"].received()
+				if tc.status != http.StatusOK && len(received) > 0 {
+					t.Errorf("%d requests ran, want none", len(received))
+				}
+				if tc.status == http.StatusOK {
+					return
+				}
+				w, _ := f.sendRequest(t.Context(), "/open/1", "Authorization", "Bearer k1")
+				requireStatus(t, w, http.StatusOK)
+				r := f.backends["desk-1"].received()[0]
+				if got := r.Header.Get("Authorization"); got != "" {
+					t.Errorf("the public route passes the key %q on", got)
+				}
+				if got := r.Header.Get("X-Tenant"); got != "" {
+					t.Errorf("the request of nobody runs for %q", got)
+				}
+			})
+		})
+	}
+}
