Admit no caller by an empty key

Callers saw: with an empty text among the keys of a tenant, requests without any key ran as that tenant.

Cause: a request without a key was looked up as the empty key.

Change: the catalog holds no empty key.

Result: TestEmptyKeyAdmitsNobody failed before (200 in place of 401) and passes now.

--- a/internal/core/pwcatalog/catalog.go
+++ b/internal/core/pwcatalog/catalog.go
@@ -199,7 +199,10 @@
 	for i := range spec.Workspaces {
 		ws := &spec.Workspaces[i].Workspace
 		for _, key := range spec.Workspaces[i].Keys {
-			c.workspaces[key] = ws
+			// Requests without a key have the empty one.
+			if key != "" {
+				c.workspaces[key] = ws
+			}
 		}
 	}
 	return c
--- a/internal/node/pwgateway/keys_test.go
+++ b/internal/node/pwgateway/keys_test.go
@@ -70,3 +70,19 @@
 		})
 	}
 }
+
+// Guards against an empty key in the configuration that admits callers without a key.
+func TestEmptyKeyAdmitsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, map[string]*backend{
+			"desk-1": newBackend(respond(200, "", "booked")),
+		})
+		f.gateway.SetCatalog(mustParseConfig(t, 2, `,"tenants":[{"name":"ward-3","keys":["","k2"]}]`))
+		for _, key := range []string{"", "Bearer ", "Bearer", "Basic k2"} {
+			w, _ := f.sendRequest(t.Context(), "/book/1", "Authorization", key)
+			requireStatus(t, w, http.StatusUnauthorized)
+		}
+		w, _ := f.sendRequest(t.Context(), "/book/1", "Authorization", "Bearer k2")
+		requireStatus(t, w, http.StatusOK)
+	})
+}
