Keep the rest of a configuration of which one part cannot be read

Callers saw: a key that was revoked in a version with one odd value, for example a weight of 0.5, went on working at every gateway.

Cause: the configuration was decoded as one value. One field of a wrong type failed the whole version, with the keys, routes and services that it took away.

Change: routes, services, tenants, keys and limits are decoded one by one; what cannot be read is left out, logged and listed by platform validate. While parts are missing, an unknown route or key gets 503 instead of 404 or 401.

--- a/internal/core/pwcatalog/catalog.go
+++ b/internal/core/pwcatalog/catalog.go
@@ -46,7 +46,7 @@
 // Share assigns a part of the requests of a route to a service, in proportion to Weight.
 type Share struct {
 	Service string
-	Weight  int
+	Weight  float64
 }
 
 // Route describes how requests with one host and path prefix are served. Diff prints
@@ -156,6 +156,9 @@
 	// admits nobody. With workspaces, requests always need a key.
 	RequireKey bool
 	Limits     Limits
+	// Unreadable describes the parts of the configuration that could not be read and are
+	// left out.
+	Unreadable []string
 }
 
 // Catalog is one version of the configuration, indexed for look-ups.
@@ -170,6 +173,7 @@
 	serviceList []Service
 	limits      Limits
 	routeCount  int
+	unreadable  []string
 }
 
 // New returns a Catalog of spec. The Catalog refers to the slices of spec, which must not
@@ -184,6 +188,7 @@
 		serviceList: spec.Services,
 		limits:      spec.Limits,
 		routeCount:  len(spec.Routes),
+		unreadable:  spec.Unreadable,
 	}
 	for i := range spec.Routes {
 		r := &spec.Routes[i]
@@ -217,6 +222,11 @@
 // RouteCount returns the number of routes.
 func (c *Catalog) RouteCount() int { return c.routeCount }
 
+// Unreadable describes the parts of the configuration that could not be read. They may
+// hold routes and keys, so that what the catalog does not know may still be allowed. The
+// caller must not change the slice.
+func (c *Catalog) Unreadable() []string { return c.unreadable }
+
 // RequiresKey reports whether requests need a key. It does not depend on whether any
 // workspace has one: the revocation of the last key must not admit everybody.
 func (c *Catalog) RequiresKey() bool { return c.requiresKey }
@@ -255,7 +265,7 @@
 // PickService returns the service of a request, chosen by weight with draw, a random
 // number in [0, 1). It returns "" if the route has no services.
 func (r *Route) PickService(draw float64) string {
-	total := 0
+	total := 0.0
 	for _, s := range r.Shares {
 		total += max(0, s.Weight)
 	}
@@ -265,12 +275,12 @@
 		}
 		return r.Shares[0].Service
 	}
-	remaining := draw * float64(total)
+	remaining := draw * total
 	for _, s := range r.Shares {
 		if s.Weight <= 0 {
 			continue
 		}
-		if remaining -= float64(s.Weight); remaining < 0 {
+		if remaining -= s.Weight; remaining < 0 {
 			return s.Service
 		}
 	}
--- a/internal/core/pwcatalog/diff.go
+++ b/internal/core/pwcatalog/diff.go
@@ -10,7 +10,7 @@
 // Problems returns a message for each fault that makes the configuration unusable, in a
 // stable order.
 func (c *Catalog) Problems() []string {
-	var out []string
+	out := slices.Clone(c.unreadable)
 	for _, r := range c.sortedRoutes() {
 		name := "route " + r.Name
 		if r.Prefix == "" || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/' {
@@ -24,7 +24,7 @@
 				out = append(out, fmt.Sprintf("%s: service %q is not in the configuration", name, s.Service))
 			}
 			if s.Weight < 0 {
-				out = append(out, fmt.Sprintf("%s: weight of %q is %d; 0 or more is allowed", name, s.Service, s.Weight))
+				out = append(out, fmt.Sprintf("%s: weight of %q is %g; 0 or more is allowed", name, s.Service, s.Weight))
 			}
 		}
 	}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -196,7 +196,7 @@
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	route, ok := c.Route(x.r.Host, path)
 	if !ok {
-		return x.newUnknownRefusal(http.StatusNotFound, pwverdict.CauseNotFound, "no route for this host and path")
+		return x.newUnknownRefusal(c, http.StatusNotFound, pwverdict.CauseNotFound, "no route for this host and path")
 	}
 	x.route = route
 	x.priority = [2]int{route.Priority, route.Priority}
@@ -204,7 +204,7 @@
 		x.stripCredential = true
 		ws, ok := c.WorkspaceByKey(metadata.Credential)
 		if !ok && !route.Public {
-			return x.newUnknownRefusal(http.StatusUnauthorized, pwverdict.CauseUnauthenticated, "unknown key")
+			return x.newUnknownRefusal(c, http.StatusUnauthorized, pwverdict.CauseUnauthenticated, "unknown key")
 		}
 		if ok {
 			x.workspace = ws.Name
@@ -235,14 +235,18 @@
 }
 
 // newUnknownRefusal returns the refusal of an unknown route or key. It has the given
-// status, on which callers do not retry, only while the store responds. Otherwise a newer
-// configuration may have the route or key, and the status is 503.
-func (x *exchange) newUnknownRefusal(status int, cause pwverdict.Cause, reason string) error {
+// status, on which callers do not retry, only while the store responds and all parts of
+// the configuration could be read. Otherwise a newer configuration, or the unreadable part,
+// may have the route or key, and the status is 503.
+func (x *exchange) newUnknownRefusal(c *pwcatalog.Catalog, status int, cause pwverdict.Cause, reason string) error {
 	if time.Since(x.g.storeContact()) > maxStoreContactAge {
 		return newRefusal(http.StatusServiceUnavailable, cause,
 			"%s, but the configuration may be out of date: the store last answered %s ago",
 			reason, time.Since(x.g.storeContact()).Round(time.Millisecond))
 	}
+	if n := len(c.Unreadable()); n > 0 {
+		return newRefusal(http.StatusServiceUnavailable, cause, "%s, but %d parts of the configuration cannot be read", reason, n)
+	}
 	return newRefusal(status, cause, "%s", reason)
 }
 
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -209,6 +209,14 @@
 		"version": c.Version(),
 		"routes":  c.RouteCount(),
 	})
+	if parts := c.Unreadable(); len(parts) > 0 {
+		g.obs.Count("config_parts_unreadable", int64(len(parts)))
+		g.obs.LogEvent("config_parts_unreadable", log.Fields{
+			"version": c.Version(),
+			"count":   len(parts),
+			"first":   parts[0],
+		})
+	}
 }
 
 // ApplyOperatorRows applies changed rows of operators: marks that take a data
--- a/internal/node/pwgateway/keys_test.go
+++ b/internal/node/pwgateway/keys_test.go
@@ -86,3 +86,85 @@
 		requireStatus(t, w, http.StatusOK)
 	})
 }
+
+// Guards against a version of the configuration that is passed over, with the keys that
+// it takes away, because one of its fields cannot be read.
+func TestUnreadableFieldLeavesRevocationsInForce(t *testing.T) {
+	const (
+		sound   = `"tenants":[{"name":"ward-3","keys":["k2"]}]`
+		service = `{"name":"desk"}`
+		route   = `{"name":"book","host":"h.example","prefix":"/book/","kind":"unsafe","service":"desk"}`
+		other   = `{"name":"odd","host":"h.example","prefix":"/odd/","kind":"safe","service":"desk"`
+	)
+	for name, fields := range map[string]string{
+		"weights with fractions":    `"routes":[` + route + `,` + other + `,"split":[{"service":"desk","weight":0.5}]}],"services":[` + service + `],` + sound,
+		"text as a time-out":        `"routes":[` + other + `,"timeout-ms":"soon"},` + route + `],"services":[` + service + `],` + sound,
+		"text as a number":          `"routes":[` + other + `,"attempts":"two"},` + route + `],"services":[` + service + `],` + sound,
+		"number beyond its type":    `"routes":[` + other + `,"attempts":1e999},` + route + `],"services":[` + service + `],` + sound,
+		"text among the routes":     `"routes":["odd",` + route + `],"services":[` + service + `],` + sound,
+		"null among the routes":     `"routes":[null,` + route + `],"services":[` + service + `],` + sound,
+		"engine with text as slots": `"routes":[` + route + `],"services":[` + service + `,{"name":"m","engine":{"slots":"16"}}],` + sound,
+		"fractions in limits":       `"routes":[` + route + `],"services":[` + service + `],"limits":{"body-bytes":1048576.5},` + sound,
+		"text in limits":            `"routes":[` + route + `],"services":[` + service + `],"limits":{"body-bytes":"1 MB"},` + sound,
+		"list as limits":            `"routes":[` + route + `],"services":[` + service + `],"limits":[],` + sound,
+		"fraction as a priority":    `"routes":[` + route + `],"services":[` + service + `],"tenants":[{"name":"ward-3","keys":["k2"],"priority":0.5}]`,
+		"text as a priority":        `"routes":[` + route + `],"services":[` + service + `],"tenants":[{"name":"ward-4","keys":["k3"],"priority":"high"},{"name":"ward-3","keys":["k2"]}]`,
+		"number among the keys":     `"routes":[` + route + `],"services":[` + service + `],"tenants":[{"name":"ward-3","keys":[7,"k2"]}]`,
+		"text among the tenants":    `"routes":[` + route + `],"services":[` + service + `],"tenants":["ward-4",{"name":"ward-3","keys":["k2"]}]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, map[string]*backend{
+					"desk-1": newBackend(respond(200, "", "booked")),
+				})
+				c, err := platform.ParseConfiguration([]byte(`{"version":2,` + fields + `}`))
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.gateway.SetCatalog(c)
+				w, _ := f.sendRequest(t.Context(), "/book/1", "Authorization", "Bearer k1")
+				if w.Code != http.StatusUnauthorized && w.Code != http.StatusServiceUnavailable {
+					t.Errorf("the revoked key gets %d, want 401 or 503", w.Code)
+				}
+				if n := len(f.backends["desk-1"].received()); n > 0 {
+					t.Errorf("%d requests with the revoked key ran", n)
+				}
+				w, _ = f.sendRequest(t.Context(), "/book/1", "Authorization", "Bearer k2")
+				requireStatus(t, w, http.StatusOK)
+			})
+		})
+	}
+}
+
+// Guards against a 404 or 401 for what an unreadable part of the configuration may allow.
+func TestUnreadablePartsAreRefusedForNow(t *testing.T) {
+	for name, tc := range map[string]struct{ fields, path, key string }{
+		"route": {
+			fields: `"routes":[{"name":"book","host":"h.example","prefix":"/book/","timeout-ms":"soon"}],"services":[{"name":"desk"}]`,
+			path:   "/book/1",
+		},
+		"routes": {
+			fields: `"routes":{},"services":[{"name":"desk"}]`,
+			path:   "/book/1",
+		},
+		"tenants": {
+			fields: `"routes":[{"name":"book","host":"h.example","prefix":"/book/","service":"desk"}],"services":[{"name":"desk"}],"tenants":{}`,
+			path:   "/book/1",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, map[string]*backend{
+					"desk-1": newBackend(respond(200, "", "booked")),
+				})
+				c, err := platform.ParseConfiguration([]byte(`{"version":2,` + tc.fields + `}`))
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.gateway.SetCatalog(c)
+				w, _ := f.sendRequest(t.Context(), tc.path)
+				requireStatus(t, w, http.StatusServiceUnavailable)
+			})
+		})
+	}
+}
