Take a data centre out also if the row of its mark cannot be read

Callers would have seen: work in a data centre that operators have evacuated, where the row of the mark cannot be decoded.

Cause: rows with an error were passed over before their key was looked at, and the key alone states the mark.

Change: the key is looked at first.

Result: TestUnreadableMarkTakesDataCentreOut failed before (200 in place of 503) and passes now.

--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -224,9 +224,8 @@
 // that the key of a mark names.
 func (g *Gateway) ApplyOperatorRows(items []pwcontrol.Item[pwcontrol.OperatorRow], dataCentreOf func(key string) (string, bool)) {
 	for _, item := range items {
-		if item.Err != nil {
-			continue
-		}
+		// The key of a mark states everything, so that it counts also if the row cannot be
+		// decoded.
 		if dc, ok := dataCentreOf(item.Key); ok {
 			g.dispatcher.setEvacuated(dc, !item.Removed)
 			g.obs.LogEvent("data_centre_marked", log.Fields{
@@ -235,7 +234,7 @@
 			})
 			continue
 		}
-		if item.Value.Catalog != nil {
+		if item.Err == nil && item.Value.Catalog != nil {
 			g.SetCatalog(item.Value.Catalog)
 		}
 	}
