Keep marks in force of which only the key can be read

Operators would have seen: a data centre that they took out of service stays in service at processes that cannot read one field of its mark, and is not listed as marked.

Cause: replicas decoded marks as the command line does, which must reject unreadable ones.

Change: replicas and the status decode the state of a mark apart from its other fields. A state that cannot be read takes the target out.

--- a/internal/node/pwoperator/marks.go
+++ b/internal/node/pwoperator/marks.go
@@ -143,7 +143,7 @@
 func (a *api) marks(t pwchange.TargetKind) map[string]markVersion {
 	out := map[string]markVersion{}
 	for _, c := range a.replicatedChanges(pwchange.MarkKey(t, "")) {
-		if _, name, m, ok := pwchange.ParseMark(c); ok {
+		if _, name, m, ok := pwchange.MarkInForce(c); ok {
 			out[name] = markVersion{
 				change: c,
 				mark:   m,
--- a/internal/node/pwprocess/process.go
+++ b/internal/node/pwprocess/process.go
@@ -227,7 +227,7 @@
 		if !ok {
 			continue
 		}
-		target, name, m, ok := pwchange.ParseMark(c)
+		target, name, m, ok := pwchange.MarkInForce(c)
 		if !ok {
 			continue
 		}
--- a/internal/state/pwchange/change.go
+++ b/internal/state/pwchange/change.go
@@ -138,23 +138,54 @@
 // change is not a mark or its value cannot be decoded. A deleted mark yields the
 // zero Mark: its target is in service.
 func ParseMark(c Change) (t TargetKind, name string, m Mark, ok bool) {
-	switch {
-	case strings.HasPrefix(c.Key, DataCentreMarkPrefix):
-		t, name = TargetDataCentre, c.Key[len(DataCentreMarkPrefix):]
-	case strings.HasPrefix(c.Key, BackendServerMarkPrefix):
-		t, name = TargetBackendServer, c.Key[len(BackendServerMarkPrefix):]
-	default:
+	t, name, ok = parseMarkKey(c.Key)
+	if !ok || c.Deleted() {
+		return t, name, Mark{}, ok
+	}
+	if err := json.Unmarshal(c.Value, &m); err != nil {
 		return "", "", Mark{}, false
 	}
+	return t, name, m, true
+}
+
+// unreadableReason is the reason of marks of which only the key can be read.
+const unreadableReason = "the mark cannot be read"
+
+// MarkInForce returns the target and the content of an accepted mark like ParseMark, but
+// also of one that cannot be decoded as a whole, for example because a newer version of
+// the software wrote it. Its target is in service only if that can be read: operators
+// notice a target that is out of service by mistake, but not one that gets work by mistake.
+func MarkInForce(c Change) (t TargetKind, name string, m Mark, ok bool) {
+	if t, name, ok = parseMarkKey(c.Key); !ok {
+		return t, name, Mark{}, false
+	}
 	if c.Deleted() {
 		return t, name, Mark{}, true
 	}
 	if err := json.Unmarshal(c.Value, &m); err != nil {
-		return "", "", Mark{}, false
+		m = Mark{
+			Reason: unreadableReason,
+		}
 	}
+	var state struct {
+		Out *bool `json:"out"`
+	}
+	err := json.Unmarshal(c.Value, &state)
+	m.OutOfService = err != nil || state.Out == nil || *state.Out
 	return t, name, m, true
 }
 
+// parseMarkKey returns the target that the key of a mark names.
+func parseMarkKey(key string) (t TargetKind, name string, ok bool) {
+	if name, ok = strings.CutPrefix(key, DataCentreMarkPrefix); ok {
+		return TargetDataCentre, name, true
+	}
+	if name, ok = strings.CutPrefix(key, BackendServerMarkPrefix); ok {
+		return TargetBackendServer, name, true
+	}
+	return "", "", false
+}
+
 // namePattern matches the name part of a key. It excludes slashes, so that every
 // key splits into prefix and name in one way only.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
