Revoke credentials by documents that cannot be parsed

Callers saw: a credential that was revoked in a document with a field which this release does not know went on working at its entries.

Cause: a document that cannot be parsed was passed over whole.

Change: its credentials are read apart from the rest. Those that it no longer holds for their workspace are taken away; everything else stays as in the version before.

--- a/internal/node/pwentry/rules.go
+++ b/internal/node/pwentry/rules.go
@@ -71,6 +71,24 @@
 	s.router.SetLongShareBounds(float64(doc.Classes.LongServersMinPercent)/percent, float64(doc.Classes.LongServersMaxPercent)/percent)
 }
 
+// ApplyRevocations takes away the credentials that newer, a version of a service's document
+// that cannot be parsed, no longer holds. The rest of the document stays in force. It
+// returns the number of credentials taken away. ok is false if newer has no readable list
+// of workspaces, which takes nothing away.
+func (e *Entry) ApplyRevocations(id pwrequest.ServiceID, newer []byte) (removed int, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.services[id]
+	if s == nil || s.doc == nil {
+		return 0, true
+	}
+	doc, removed, ok := s.doc.WithRevocations(newer)
+	if ok {
+		s.doc = doc
+	}
+	return removed, ok
+}
+
 // workspaceKey identifies a workspace of a service.
 type workspaceKey struct {
 	service   pwrequest.ServiceID
--- a/internal/node/pwprocess/entry.go
+++ b/internal/node/pwprocess/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -166,13 +167,16 @@
 		if !ok || len(key) <= len(pwdocument.KeyPrefix) || key[:len(pwdocument.KeyPrefix)] != pwdocument.KeyPrefix {
 			continue
 		}
+		service := pwrequest.ServiceID(key[len(pwdocument.KeyPrefix):])
 		if c.Deleted() {
-			p.entry.RemoveDocument(pwrequest.ServiceID(key[len(pwdocument.KeyPrefix):]))
+			p.entry.RemoveDocument(service)
 			continue
 		}
 		doc, err := pwdocument.Parse(c.Value)
 		if err != nil {
-			p.obs.Warn("document could not be parsed; the previous version stays in force", err, "key", key)
+			removed, ok := p.entry.ApplyRevocations(service, c.Value)
+			p.obs.Warn("document could not be parsed; the previous version stays in force, without revoked credentials", err,
+				"key", key, "revoked", strconv.Itoa(removed), "credentials_readable", strconv.FormatBool(ok))
 			continue
 		}
 		p.entry.SetDocument(doc)
