Send nothing to services whose weight is 0

Callers saw: where all services of a route have the weight 0, every request went to the first of them.

--- a/internal/core/pwcatalog/catalog.go
+++ b/internal/core/pwcatalog/catalog.go
@@ -263,28 +263,24 @@
 }
 
 // PickService returns the service of a request, chosen by weight with draw, a random
-// number in [0, 1). It returns "" if the route has no services.
+// number in [0, 1). It returns "" if no service of the route has a weight above 0.
 func (r *Route) PickService(draw float64) string {
 	total := 0.0
 	for _, s := range r.Shares {
 		total += max(0, s.Weight)
 	}
-	if total == 0 {
-		if len(r.Shares) == 0 {
-			return ""
-		}
-		return r.Shares[0].Service
-	}
+	picked := ""
 	remaining := draw * total
 	for _, s := range r.Shares {
 		if s.Weight <= 0 {
 			continue
 		}
+		picked = s.Service
 		if remaining -= s.Weight; remaining < 0 {
-			return s.Service
+			break
 		}
 	}
-	return r.Shares[len(r.Shares)-1].Service
+	return picked
 }
 
 // BackendServer is the platform's entry for one backend server.
--- a/internal/core/pwcatalog/catalog_test.go
+++ b/internal/core/pwcatalog/catalog_test.go
@@ -81,6 +81,39 @@
 	}
 }
 
+// Guards against requests for a service whose weight is 0 because no other one has a
+// weight.
+func TestRouteWithoutWeightsHasNoService(t *testing.T) {
+	for _, weights := range [][]float64{{0}, {0, 0}, {-1, 0}} {
+		var r Route
+		for _, w := range weights {
+			r.Shares = append(r.Shares, Share{
+				Service: "old",
+				Weight:  w,
+			})
+		}
+		if got := r.PickService(0.5); got != "" {
+			t.Errorf("weights %v give service %q, want none", weights, got)
+		}
+	}
+	small := Route{
+		Shares: []Share{
+			{
+				Service: "none",
+			},
+			{
+				Service: "small",
+				Weight:  0.001,
+			},
+		},
+	}
+	for _, draw := range []float64{0, 0.5, 0.9999999999999999} {
+		if got := small.PickService(draw); got != "small" {
+			t.Errorf("draw %g gives service %q, want the one with a weight", draw, got)
+		}
+	}
+}
+
 func TestOnlySafeAndResumableRoutesAreRepeatable(t *testing.T) {
 	var r Route
 	if r.Repeatable() {
--- a/internal/core/pwcatalog/diff.go
+++ b/internal/core/pwcatalog/diff.go
@@ -16,8 +16,8 @@
 		if r.Prefix == "" || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/' {
 			out = append(out, fmt.Sprintf("%s: prefix is %q; it must begin and end with a slash", name, r.Prefix))
 		}
-		if len(r.Shares) == 0 {
-			out = append(out, name+": found no service; one is needed")
+		if r.PickService(0) == "" {
+			out = append(out, name+": found no service with a weight above 0; one is needed")
 		}
 		for _, s := range r.Shares {
 			if _, ok := c.services[s.Service]; !ok {
