Check keys and routes after the body of a request has been read

Callers saw: a request whose key was revoked while its body came in still ran.

Cause: the request was checked against the configuration that was in force before its body.

Change: the newest configuration is read after the body.

Result: TestKeyIsCheckedAfterBody failed before (200 in place of 401) and passes now.

--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -105,7 +105,8 @@
 		x.refuse(statusOf(err), err)
 		return
 	}
-	if err := x.resolve(c); err != nil {
+	// A version with revocations may have come into force while the body was read.
+	if err := x.resolve(g.catalog.Load()); err != nil {
 		x.refuse(statusOf(err), err)
 		return
 	}
--- a/internal/node/pwgateway/keys_test.go
+++ b/internal/node/pwgateway/keys_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 
@@ -168,3 +170,32 @@
 		})
 	}
 }
+
+// bodyFunc is a request body whose first read calls the function.
+type bodyFunc func()
+
+func (f bodyFunc) Read([]byte) (int, error) {
+	f()
+	return 0, io.EOF
+}
+
+// Guards against a request with a key that was revoked while its body was read.
+func TestKeyIsCheckedAfterBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, map[string]*backend{
+			"desk-1": newBackend(respond(200, "", "booked")),
+		})
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/book/1", bodyFunc(func() {
+			f.gateway.SetCatalog(mustParseConfig(t, 2, `,"tenants":[{"name":"ward-3","keys":["k2"]}]`))
+		}))
+		r.Host = "h.example"
+		r.Header.Set("X-Attempt-Id", "a1")
+		r.Header.Set("Authorization", "Bearer k1")
+		w := httptest.NewRecorder()
+		f.gateway.ServeHTTP(w, r)
+		requireStatus(t, w, http.StatusUnauthorized)
+		if n := len(f.backends["desk-1"].received()); n > 0 {
+			t.Errorf("%d requests with a revoked key ran", n)
+		}
+	})
+}
