Answer each request that a stopping gateway has passed on

Callers saw: in a planned stop, requests that were passed on before or late in the grace were cut without an answer at its end, among them calls that may run only once. Requests that came on open connections after 2.5 s were dropped without an answer.

Cause: nothing compared what is left of the grace with what a request may take, and nothing ended requests before the process. From the call of http.Server.Shutdown on, Go's server drops what it reads. Bodies were read without a bound in time.

Change: pwdrain remembers how long the requests of each route take. A stopping gateway refuses at once what can't finish, ends what still runs 500 ms before the forced kill with an answer, and serves connections until they are idle. Bodies must arrive within the request's timeout.

TestStopAnswersKeptConnections and TestSlowBodyIsRefusedAtTimeout pass. The race detector reports nothing.

--- /dev/null
+++ b/internal/cli/pwgatewaycommand/connections.go
@@ -0,0 +1,102 @@
+package pwgatewaycommand
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// closePollInterval is how often a stopping process looks for connections that have become
+// idle.
+const closePollInterval = 20 * time.Millisecond
+
+// connTracker knows the states of the connections of an http.Server. Server.Shutdown can't
+// be used while callers have connections open: from then on the server drops each request
+// that it reads, without an answer.
+type connTracker struct {
+	mu     sync.Mutex
+	states map[net.Conn]http.ConnState
+	// closing holds the connections that drain closes. A request that has arrived on one in
+	// the meantime must not be passed on.
+	closing map[net.Conn]bool
+}
+
+// connKey is the context key of the connection of a request.
+type connKey struct{}
+
+// newConnTracker makes a server, which must not serve yet, track its connections.
+func newConnTracker(srv *http.Server) *connTracker {
+	t := &connTracker{
+		states:  make(map[net.Conn]http.ConnState),
+		closing: make(map[net.Conn]bool),
+	}
+	next, connContext := srv.Handler, srv.ConnContext
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && t.isClosing(c) {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(connContext(ctx, c), connKey{}, c)
+	}
+	srv.ConnState = t.track
+	return t
+}
+
+// track records the state of a connection.
+func (t *connTracker) track(c net.Conn, state http.ConnState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(t.states, c)
+		delete(t.closing, c)
+	default:
+		t.states[c] = state
+	}
+}
+
+func (t *connTracker) isClosing(c net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.closing[c]
+}
+
+// drain closes connections as they become idle after a request, until none is left or ctx
+// ends. Those that have carried no request yet are left open: their callers are about to
+// send one. It returns the number of connections that are left.
+func (t *connTracker) drain(ctx context.Context) int {
+	ticker := time.NewTicker(closePollInterval)
+	defer ticker.Stop()
+	for {
+		n := t.closeIdle()
+		if n == 0 {
+			return 0
+		}
+		select {
+		case <-ctx.Done():
+			return n
+		case <-ticker.C:
+		}
+	}
+}
+
+// closeIdle closes the idle connections and returns the number of the others.
+func (t *connTracker) closeIdle() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	others := 0
+	for c, state := range t.states {
+		if state != http.StateIdle {
+			others++
+			continue
+		}
+		t.closing[c] = true
+		// The caller may have closed it.
+		_ = c.Close()
+	}
+	return others
+}
--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -47,8 +47,13 @@
 	// notReadyPeriod is how long a stopping process reports that it is not ready before
 	// it stops listening, so that the load balancer sends it no new connections.
 	notReadyPeriod = 2500 * time.Millisecond
+	// notReadyShare bounds notReadyPeriod by a share of the grace period.
+	notReadyShare = 0.4
 	// shutdownMargin is the time between the end of the shutdown and the forced kill.
 	shutdownMargin = 300 * time.Millisecond
+	// answerMargin is the time between the end of the last requests and that of the
+	// shutdown, in which their answers are written.
+	answerMargin = 200 * time.Millisecond
 	// firstConfigTimeout bounds the wait for the first configuration, which sets the
 	// connection limits.
 	firstConfigTimeout = 1500 * time.Millisecond
@@ -268,8 +273,11 @@
 	}
 	errs := make(chan error, 3)
 	internalServers := []*http.Server{
-		p.start(ready, http.HandlerFunc(p.handleReadiness), errs),
-		p.start(metrics, p.metricsHandler(), errs),
+		p.newServer(http.HandlerFunc(p.handleReadiness)),
+		p.newServer(p.metricsHandler()),
+	}
+	for i, l := range []net.Listener{ready, metrics} {
+		serve(internalServers[i], l, errs)
 	}
 	defer func() {
 		for _, s := range internalServers {
@@ -285,17 +293,20 @@
 	case <-time.After(firstConfigTimeout):
 	case <-ctx.Done():
 	}
-	srv := p.start(callers, p.gateway, errs)
+	srv := p.newServer(p.gateway)
+	conns := newConnTracker(srv)
+	serve(srv, callers, errs)
 	select {
 	case err := <-errs:
 		return err
 	case <-ctx.Done():
 	}
-	return p.shutdown(ctx, srv)
+	p.shutdown(callers, srv, conns)
+	return nil
 }
 
-// start serves a listener with the connection limits of the configuration.
-func (p *process) start(l net.Listener, h http.Handler, errs chan<- error) *http.Server {
+// newServer returns a server with the connection limits of the configuration.
+func (p *process) newServer(h http.Handler) *http.Server {
 	limits := p.gateway.Limits()
 	srv := &http.Server{
 		Handler:           h,
@@ -313,31 +324,40 @@
 	if limits.HeaderBytes > 0 {
 		srv.MaxHeaderBytes = limits.HeaderBytes
 	}
+	return srv
+}
+
+// serve serves a listener in the background.
+func serve(srv *http.Server, l net.Listener, errs chan<- error) {
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			errs <- err
 		}
 	}()
-	return srv
 }
 
-// shutdown reports not ready for notReadyPeriod, then stops listening and waits for
-// the running requests until shortly before the forced kill.
-func (p *process) shutdown(ctx context.Context, srv *http.Server) error {
-	start := time.Now()
+// shutdown reports not ready for a while, then stops listening and serves the open
+// connections until all are closed. Shortly before the forced kill, it ends the requests
+// that still run, so that each one gets an answer.
+func (p *process) shutdown(callers net.Listener, srv *http.Server, conns *connTracker) {
+	grace := p.deployment.Bounds.StopGracePeriod
+	end := time.Now().Add(grace - shutdownMargin)
 	close(p.stopping)
-	p.gateway.BeginShutdown()
+	p.gateway.BeginShutdown(end.Add(-answerMargin))
 	p.obs.LogEvent("stopping", nil)
-	time.Sleep(notReadyPeriod)
-	remaining := p.deployment.Bounds.StopGracePeriod - shutdownMargin - time.Since(start)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(0, remaining))
+	time.Sleep(min(notReadyPeriod, time.Duration(notReadyShare*float64(grace))))
+	// Closing only fails if the listener is closed already.
+	_ = callers.Close()
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	err := srv.Shutdown(ctx)
+	left := conns.drain(ctx)
+	// What is left are connections that never carried a request, and broken streams.
+	_ = srv.Close()
 	p.obs.LogEvent("stop", log.Fields{
-		"complete":      err == nil,
-		"lines_dropped": p.logWriter.DroppedLines(),
+		"complete":         left == 0,
+		"connections_left": left,
+		"lines_dropped":    p.logWriter.DroppedLines(),
 	})
-	return nil
 }
 
 // handleReadiness responds to the load balancer: 200 if the process takes new connections,
--- /dev/null
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -0,0 +1,495 @@
+package pwgatewaycommand
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/platform"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwgateway"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
+)
+
+const (
+	testGracePeriod = 8 * time.Second
+	// promptRefusal is the longest time to the refusal of what can't finish.
+	promptRefusal = 50 * time.Millisecond
+)
+
+// pipeListener is a listener of in-memory connections.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// stopFixture is a gateway that is stopped while callers use it. The last part of a path
+// is the time in milliseconds that the backend server takes.
+type stopFixture struct {
+	t        *testing.T
+	process  *process
+	server   *http.Server
+	conns    *connTracker
+	listener *pipeListener
+	startAt  time.Time
+
+	mu sync.Mutex
+	// passedOn holds the ids of the requests that reached a backend server.
+	passedOn map[string]int
+}
+
+func newStopFixture(t *testing.T) *stopFixture {
+	t.Helper()
+	f := &stopFixture{
+		t: t,
+		listener: &pipeListener{
+			conns:  make(chan net.Conn),
+			closed: make(chan struct{}),
+		},
+		passedOn: make(map[string]int),
+	}
+	deployment := pwdeployment.Deployment{
+		Instance:    "front-1",
+		DataCentre:  "hakata",
+		MemoryBytes: 284 << 20,
+		Bounds: pwdeployment.Bounds{
+			StopGracePeriod:    testGracePeriod,
+			RetryRatio:         0.2,
+			RetryWindow:        10 * time.Second,
+			RetrySlack:         100,
+			MaxReservationTime: 20 * time.Second,
+			ReleaseTimeout:     4 * time.Second,
+			StallTimeout:       1500 * time.Millisecond,
+		},
+	}
+	logs := pwobserve.NewAsyncWriter(io.Discard, pwobserve.DefaultBufferLines)
+	t.Cleanup(func() { _ = logs.Close() })
+	f.process = &process{
+		deployment: deployment,
+		obs:        pwobserve.New(logs, "front-1", "hakata"),
+		logWriter:  logs,
+		stopping:   make(chan struct{}),
+		gateway: pwgateway.New(pwgateway.Config{
+			Deployment: deployment,
+			Codec:      platform.NewCodec(),
+			Engines:    platform.NewEngineClient(),
+			Upstream: pwupstream.Config{
+				Dial: f.dialBackend,
+			},
+		}, pwobserve.Discard()),
+	}
+	f.configure()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.process.gateway.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		time.Sleep(time.Minute) // probes and releases end
+		cancel()
+		<-done
+	})
+	f.server = f.process.newServer(f.process.gateway)
+	f.conns = newConnTracker(f.server)
+	serve(f.server, f.listener, make(chan error, 1))
+	t.Cleanup(func() { _ = f.server.Close() })
+	return f
+}
+
+func (f *stopFixture) configure() {
+	engine := pwfakecatalog.Engine()
+	route := func(name string, kind pwcatalog.Kind, service string) pwcatalog.Route {
+		return pwcatalog.Route{
+			Name:      name,
+			Host:      "h.example",
+			Prefix:    "/" + name + "/",
+			Kind:      kind,
+			Timeout:   time.Minute,
+			Target:    20 * time.Second,
+			TargetGap: 30 * time.Second,
+			Attempts:  2,
+			Resumable: kind == pwcatalog.Streaming,
+			Shares: []pwcatalog.Share{{
+				Service: service,
+				Weight:  1,
+			}},
+		}
+	}
+	f.process.gateway.SetCatalog(pwcatalog.New(pwcatalog.Spec{
+		Version: 1,
+		Routes: []pwcatalog.Route{
+			route("note", pwcatalog.Streaming, "model"),
+			route("book", pwcatalog.Unsafe, "desk"),
+			route("view", pwcatalog.Safe, "desk"),
+		},
+		Services: []pwcatalog.Service{
+			{
+				Name:   "model",
+				Engine: &engine,
+			},
+			{
+				Name: "desk",
+			},
+		},
+	}))
+	var items []pwcontrol.Item[pwcatalog.BackendServer]
+	for _, service := range []string{"model", "desk"} {
+		items = append(items, pwcontrol.Item[pwcatalog.BackendServer]{
+			Key: service,
+			Value: pwcatalog.BackendServer{
+				ID:         service,
+				Service:    service,
+				Address:    service,
+				DataCentre: "hakata",
+				Slots:      16,
+			},
+		})
+	}
+	f.process.gateway.ApplyServers(items, time.Time{})
+}
+
+func (f *stopFixture) dialBackend(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go f.serveBackend(far)
+	return near, nil
+}
+
+// serveBackend serves the requests on one connection. Writes fail once the gateway has
+// closed it.
+func (f *stopFixture) serveBackend(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		id := r.Header.Get("X-Attempt-Id")
+		f.mu.Lock()
+		f.passedOn[id]++
+		f.mu.Unlock()
+		work := pathMillis(r.URL.Path)
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\n", id)
+		if !strings.HasPrefix(r.URL.Path, "/note/") {
+			time.Sleep(work)
+			if _, err := io.WriteString(c, head+"Content-Length: 4\r\n\r\ndone"); err != nil {
+				return
+			}
+			continue
+		}
+		const events = 10
+		for n := 1; n <= events; n++ {
+			time.Sleep(work / events)
+			ev := fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n)
+			chunk := fmt.Sprintf("%x\r\n%s\r\n", len(ev), ev)
+			if n == 1 {
+				chunk = head + "Transfer-Encoding: chunked\r\n\r\n" + chunk
+			}
+			if n == events {
+				chunk += "0\r\n\r\n"
+			}
+			if _, err := io.WriteString(c, chunk); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// pathMillis returns the number of milliseconds at the end of a path.
+func pathMillis(path string) time.Duration {
+	ms, err := strconv.Atoi(path[strings.LastIndexByte(path, '/')+1:])
+	if err != nil {
+		panic(err)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// stopCall is one request of a caller. Times count from the beginning of the stop.
+type stopCall struct {
+	path string
+	// opened is when the connection is opened, sentAt when the request begins, and
+	// bodyTime how long the caller takes to send its body.
+	opened, sentAt, bodyTime time.Duration
+	deadline                 time.Duration
+}
+
+// stopResult is what a caller got.
+type stopResult struct {
+	status int
+	// complete is set if the response was complete.
+	complete   bool
+	retryAfter string
+	closes     bool
+	// waited is the time from the last byte of the request to the response. answeredAt
+	// counts from the beginning of the stop.
+	waited, answeredAt time.Duration
+	err                error
+}
+
+// run makes one call and returns its result.
+func (f *stopFixture) run(id string, call stopCall) stopResult {
+	near, far := net.Pipe()
+	time.Sleep(time.Until(f.startAt.Add(call.opened)))
+	select {
+	case f.listener.conns <- far:
+	case <-f.listener.closed:
+		return stopResult{
+			err: net.ErrClosed,
+		}
+	}
+	defer func() { _ = near.Close() }()
+	time.Sleep(time.Until(f.startAt.Add(call.sentAt)))
+	return f.exchange(near, bufio.NewReader(near), id, call)
+}
+
+// exchange sends one request on an open connection and reads the response.
+func (f *stopFixture) exchange(c net.Conn, br *bufio.Reader, id string, call stopCall) (res stopResult) {
+	const body = "prompt"
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: %s\r\nX-Deadline-Milliseconds: %d\r\nX-Token-Counts: 1000,100\r\nContent-Length: %d\r\n\r\n",
+		call.path, id, call.deadline.Milliseconds(), len(body))
+	sent := make(chan time.Time, 1)
+	go func() {
+		_, err := io.WriteString(c, head+body[:1])
+		time.Sleep(call.bodyTime)
+		if err == nil {
+			_, _ = io.WriteString(c, body[1:])
+		}
+		sent <- time.Now()
+	}()
+	resp, err := http.ReadResponse(br, nil)
+	now := time.Now()
+	res.answeredAt = now.Sub(f.startAt)
+	if err != nil {
+		res.err = err
+		return res
+	}
+	defer func() { _ = resp.Body.Close() }()
+	select {
+	case at := <-sent:
+		res.waited = now.Sub(at)
+	default:
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	res.status, res.complete, res.err = resp.StatusCode, err == nil, err
+	res.retryAfter, res.closes = resp.Header.Get("Retry-After"), resp.Close
+	return res
+}
+
+// shutdown stops the gateway at startAt. When it returns, the process ends and its
+// connections are closed.
+func (f *stopFixture) shutdown() {
+	time.Sleep(time.Until(f.startAt))
+	f.process.shutdown(f.listener, f.server, f.conns)
+	if d := time.Since(f.startAt); d >= testGracePeriod {
+		f.t.Errorf("the process ends after %s, the grace period is %s", d, testGracePeriod)
+	}
+}
+
+func (f *stopFixture) wasPassedOn(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.passedOn[id] > 0
+}
+
+// Guards against requests that a stopping gateway passes on and cuts at the end of its
+// grace without an answer, among them requests that may run only once (LOST).
+func TestStopAnswersWhatWasPassedOn(t *testing.T) {
+	const (
+		short  = 600 * time.Millisecond
+		long   = 30 * time.Second
+		before = -time.Second
+		// late is shortly before the process stops listening. Connections without a
+		// request are closed after defaultHeaderTimeout.
+		late = notReadyPeriod - 100*time.Millisecond
+	)
+	for name, tc := range map[string]struct {
+		call stopCall
+		// known is a path whose requests have run before the stop.
+		known string
+		// status is the status that the caller must get; 0 stands for a stream that has
+		// begun and is cut.
+		status   int
+		passedOn bool
+	}{
+		"unsafe, in flight, ends in the grace":   {call: stopCall{path: "/book/3000", opened: before, sentAt: before, deadline: long}, status: 200, passedOn: true},
+		"unsafe, in flight, longer than grace":   {call: stopCall{path: "/book/20000", opened: before, sentAt: before, deadline: long}, status: 504, passedOn: true},
+		"safe, in flight, longer than grace":     {call: stopCall{path: "/view/20000", opened: before, sentAt: before, deadline: long}, status: 504, passedOn: true},
+		"stream without events, longer":          {call: stopCall{path: "/note/200000", opened: before, sentAt: before, deadline: long}, status: 504, passedOn: true},
+		"stream, longer than grace":              {call: stopCall{path: "/note/20000", opened: before, sentAt: before, deadline: long}, passedOn: true},
+		"stream, ends in the grace":              {call: stopCall{path: "/note/5000", opened: before, sentAt: before, deadline: long}, status: 200, passedOn: true},
+		"unsafe, early, deadline in the grace":   {call: stopCall{path: "/book/50", opened: late, sentAt: 4 * time.Second, deadline: short}, status: 200, passedOn: true},
+		"unsafe, late, known to be short":        {call: stopCall{path: "/book/50", opened: late, sentAt: 7 * time.Second, deadline: long}, known: "/book/60", status: 200, passedOn: true},
+		"unsafe, late, never seen before":        {call: stopCall{path: "/book/50", opened: before, sentAt: 3 * time.Second, deadline: long}, status: 503},
+		"unsafe, late, known to be long":         {call: stopCall{path: "/book/50", opened: late, sentAt: 6 * time.Second, deadline: long}, known: "/book/2000", status: 503},
+		"unsafe, late, longer than expected":     {call: stopCall{path: "/book/5000", opened: late, sentAt: 6 * time.Second, deadline: long}, known: "/book/60", status: 504, passedOn: true},
+		"unsafe, at the end":                     {call: stopCall{path: "/book/50", opened: late, sentAt: 7350 * time.Millisecond, deadline: short}, status: 503},
+		"stream, late, known to be long":         {call: stopCall{path: "/note/3000", opened: late, sentAt: 5 * time.Second, deadline: long}, known: "/note/3000", status: 503},
+		"stream, early, known to be short":       {call: stopCall{path: "/note/3000", opened: before, sentAt: time.Second, deadline: long}, known: "/note/3000", status: 200, passedOn: true},
+		"new connection while it is not ready":   {call: stopCall{path: "/book/50", opened: time.Second, sentAt: time.Second, deadline: short}, status: 200, passedOn: true},
+		"first used late":                        {call: stopCall{path: "/book/50", opened: 2 * time.Second, sentAt: 6500 * time.Millisecond, deadline: short}, status: 200, passedOn: true},
+		"first used at the end":                  {call: stopCall{path: "/book/50", opened: late, sentAt: 7300 * time.Millisecond, deadline: short}, status: 503},
+		"slow body, ends after the grace":        {call: stopCall{path: "/book/50", opened: before, sentAt: before, bodyTime: 15 * time.Second, deadline: long}, status: 503},
+		"slow body, begins late":                 {call: stopCall{path: "/book/50", opened: late, sentAt: 5 * time.Second, bodyTime: 15 * time.Second, deadline: long}, status: 503},
+		"slow body, ends late, short deadline":   {call: stopCall{path: "/book/50", opened: late, sentAt: 5 * time.Second, bodyTime: 2 * time.Second, deadline: 2500 * time.Millisecond}, status: 200, passedOn: true},
+		"slow body, ends late, never seen":       {call: stopCall{path: "/book/50", opened: before, sentAt: before, bodyTime: 7 * time.Second, deadline: long}, status: 503},
+		"slow body, ends late, known to be long": {call: stopCall{path: "/view/50", opened: before, sentAt: before, bodyTime: 7 * time.Second, deadline: long}, known: "/view/2000", status: 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStopFixture(t)
+				f.startAt = time.Now().Add(20 * time.Second)
+				if tc.known != "" {
+					if res := f.run("known", stopCall{
+						path:     tc.known,
+						opened:   -10 * time.Second,
+						sentAt:   -10 * time.Second,
+						deadline: long,
+					}); res.status != 200 {
+						t.Fatalf("the request before the stop got %+v", res)
+					}
+				}
+				stopped := make(chan struct{})
+				go func() {
+					defer close(stopped)
+					f.shutdown()
+				}()
+				res := f.run("a1", tc.call)
+				<-stopped
+				if got := f.wasPassedOn("a1"); got != tc.passedOn {
+					t.Errorf("passed on is %t, want %t", got, tc.passedOn)
+				}
+				if tc.status == 0 {
+					if res.status != 200 || res.complete {
+						t.Errorf("the caller got %+v, want a stream that is cut", res)
+					}
+					return
+				}
+				if res.status != tc.status || !res.complete {
+					t.Fatalf("the caller got %+v, want a complete %d", res, tc.status)
+				}
+				if res.status == 503 && (res.retryAfter == "" || res.waited > promptRefusal) {
+					t.Errorf("refused after %s with Retry-After %q, want at once with some", res.waited, res.retryAfter)
+				}
+				if res.answeredAt > 0 && res.status != 200 && !res.closes {
+					t.Error("the response does not announce that the connection closes")
+				}
+			})
+		})
+	}
+}
+
+// Guards against requests on kept connections that a stopping gateway takes and does not
+// answer. Each caller sends requests one after the other until the gateway closes its
+// connection.
+func TestStopAnswersKeptConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStopFixture(t)
+		f.startAt = time.Now().Add(5 * time.Second)
+		var wg sync.WaitGroup
+		for n, path := range []string{"/book/20", "/book/300", "/book/900", "/view/40", "/view/1200", "/note/400", "/note/2500"} {
+			for opened := -2 * time.Second; opened < 2500*time.Millisecond; opened += 250 * time.Millisecond {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					f.useUntilClosed(fmt.Sprintf("%d.%d", n, opened.Milliseconds()), path, opened)
+				}()
+			}
+		}
+		f.shutdown()
+		wg.Wait()
+	})
+}
+
+// useUntilClosed sends requests on one connection and checks that each one that was passed
+// on was answered.
+func (f *stopFixture) useUntilClosed(name, path string, opened time.Duration) {
+	time.Sleep(time.Until(f.startAt.Add(opened)))
+	near, far := net.Pipe()
+	select {
+	case f.listener.conns <- far:
+	case <-f.listener.closed:
+		return
+	}
+	defer func() { _ = near.Close() }()
+	br := bufio.NewReader(near)
+	for n := 0; ; n++ {
+		id := fmt.Sprintf("%s.%d", name, n)
+		res := f.exchange(near, br, id, stopCall{
+			path:     path,
+			deadline: 10 * time.Second,
+		})
+		switch {
+		case res.status == 0:
+			if f.wasPassedOn(id) {
+				f.t.Errorf("%s %s was passed on and got no answer: %v", path, id, res.err)
+			}
+			return
+		case !res.complete && !strings.HasPrefix(path, "/note/"), errors.Is(res.err, net.ErrClosed):
+			f.t.Errorf("%s %s got %+v", path, id, res)
+			return
+		case res.closes, !res.complete:
+			return
+		}
+		time.Sleep(pathMillis(path) / 2)
+	}
+}
+
+// Guards against callers that hold memory of the gateway with bodies that do not arrive.
+func TestSlowBodyIsRefusedAtTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStopFixture(t)
+		f.startAt = time.Now()
+		res := f.run("a1", stopCall{
+			path:     "/book/50",
+			bodyTime: 20 * time.Second,
+			deadline: 2 * time.Second,
+		})
+		if res.status != http.StatusRequestTimeout || !res.closes || res.answeredAt != 2*time.Second || f.wasPassedOn("a1") {
+			t.Errorf("the caller got %+v, want a 408 after 2s", res)
+		}
+		res = f.run("a2", stopCall{
+			path:     "/book/5000",
+			bodyTime: time.Second,
+			deadline: 20 * time.Second,
+		})
+		if res.status != http.StatusOK {
+			t.Errorf("after a body of 1s the caller got %+v, want a 200", res)
+		}
+	})
+}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -41,12 +42,15 @@
 
 // exchange is one request of a caller and the response to it.
 type exchange struct {
-	g               *Gateway
-	w               http.ResponseWriter
-	r               *http.Request
-	arrivedAt       time.Time
-	deadline        time.Time
-	metadata        RequestMetadata
+	g         *Gateway
+	w         http.ResponseWriter
+	r         *http.Request
+	conn      *callerConn
+	arrivedAt time.Time
+	deadline  time.Time
+	metadata  RequestMetadata
+	// metadataErr is why the headers of the request cannot be parsed, or nil.
+	metadataErr     error
 	route           *pwcatalog.Route
 	service         string
 	workspace       string
@@ -89,11 +93,18 @@
 		r:            r,
 		arrivedAt:    time.Now(),
 		triedServers: make(map[string]bool),
+		conn: &callerConn{
+			rc:  http.NewResponseController(w),
+			obs: g.obs,
+		},
 	}
-	if g.stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
+	defer x.conn.end()
+	x.metadata, x.metadataErr = g.codec.ParseRequest(r.Header)
 	c := g.catalog.Load()
+	if c != nil {
+		// The route is looked up again after the body.
+		x.route, _ = c.Route(r.Host, requestPath(r))
+	}
 	size := x.maxBodySize(c)
 	if !g.reserveRequestMemory(size) {
 		x.refuse(http.StatusServiceUnavailable, newRefusal(http.StatusServiceUnavailable, pwverdict.CauseQueueFull,
@@ -110,11 +121,23 @@
 		x.refuse(statusOf(err), err)
 		return
 	}
+	if err := x.checkShutdown(); err != nil {
+		x.refuse(statusOf(err), err)
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	ctx, cancel = x.endWithShutdown(ctx)
+	defer cancel()
 	x.run(ctx)
 }
 
+// requestPath returns the path of a request as the caller sent it.
+func requestPath(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // refusal is an error with the HTTP status that the caller gets.
 type refusal struct {
 	error
@@ -170,12 +193,27 @@
 }
 
 func (x *exchange) readBody(c *pwcatalog.Catalog) error {
+	if x.r.ContentLength == 0 {
+		return nil
+	}
+	stop := x.limitBodyTime()
 	limit := bodyLimit(c)
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	stop()
+	if err == nil {
+		x.conn.endBody()
+	} else {
+		// The rest of the body is not read, so the connection can't carry another request.
+		x.w.Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, pwverdict.CauseBadRequest, "the request body exceeds %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.g.shutdown.hasBegun():
+		return newDrainRefusal("the process stops before the request body has arrived")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return newRefusal(http.StatusRequestTimeout, pwverdict.CauseDeadlineExceeded, "the request body has not arrived within %s", x.timeout())
 	case err != nil:
 		return newRefusal(http.StatusBadRequest, pwverdict.CauseBadRequest, "reading the request body: %v", err)
 	}
@@ -186,16 +224,14 @@
 // resolve sets the route, the workspace, the service and the deadline of the
 // request. It returns a refusal for a request that must not be sent.
 func (x *exchange) resolve(c *pwcatalog.Catalog) error {
-	metadata, err := x.g.codec.ParseRequest(x.r.Header)
-	x.metadata = metadata
-	if err != nil {
-		return newRefusal(http.StatusBadRequest, pwverdict.CauseBadRequest, "%v", err)
+	x.route = nil
+	if x.metadataErr != nil {
+		return newRefusal(http.StatusBadRequest, pwverdict.CauseBadRequest, "%v", x.metadataErr)
 	}
 	if c == nil {
 		return newRefusal(http.StatusServiceUnavailable, pwverdict.CauseUnavailable, "the gateway has no configuration yet")
 	}
-	path, _, _ := strings.Cut(x.r.RequestURI, "?")
-	route, ok := c.Route(x.r.Host, path)
+	route, ok := c.Route(x.r.Host, requestPath(x.r))
 	if !ok {
 		return x.newUnknownRefusal(c, http.StatusNotFound, pwverdict.CauseNotFound, "no route for this host and path")
 	}
@@ -203,7 +239,7 @@
 	x.priority = [2]int{route.Priority, route.Priority}
 	if c.RequiresKey() {
 		x.stripCredential = true
-		ws, ok := c.WorkspaceByKey(metadata.Credential)
+		ws, ok := c.WorkspaceByKey(x.metadata.Credential)
 		if !ok && !route.Public {
 			return x.newUnknownRefusal(c, http.StatusUnauthorized, pwverdict.CauseUnauthenticated, "unknown key")
 		}
@@ -215,17 +251,10 @@
 		}
 	}
 	x.service = route.PickService(rand.Float64())
-	timeout := defaultTimeout
-	if metadata.Timeout > 0 {
-		timeout = metadata.Timeout
-	}
-	if route.Timeout > 0 {
-		timeout = min(timeout, route.Timeout)
-	}
-	x.deadline = x.arrivedAt.Add(timeout)
-	x.lastEventID = metadata.LastEventID
+	x.deadline = x.arrivedAt.Add(x.timeout())
+	x.lastEventID = x.metadata.LastEventID
 	x.fingerprint = fingerprint(x.r.RequestURI, x.workspace, x.body)
-	x.sharedParts = sharedParts(metadata.PromptParts)
+	x.sharedParts = sharedParts(x.metadata.PromptParts)
 	if err := x.g.crashes.checkQuarantine(x); err != nil {
 		return &refusal{
 			error:  err,
@@ -264,6 +293,7 @@
 		retryable, err := x.trySend(ctx, plan, assignment)
 		if err == nil {
 			x.g.crashes.recordRequestEnd(x.fingerprint)
+			x.g.shutdown.durations.Record(time.Now(), x.route.Name, time.Since(x.arrivedAt))
 			return
 		}
 		if !retryable || ctx.Err() != nil {
@@ -311,7 +341,12 @@
 		}
 		p.capacityWaitUntil = from.Add(time.Duration(x.g.cfg.Policy.WaitShare * float64(abandonTime)))
 	}
+	ctx, cancel := x.g.shutdown.endBefore(ctx, x.neededTime())
+	defer cancel()
 	plan, assignment, err := x.g.dispatcher.acquire(ctx, p)
+	if errors.Is(err, errStopping) {
+		err = newDrainRefusal("the process stops before the request, which waits for an engine, can finish")
+	}
 	x.waitTime += time.Since(now)
 	x.blockedBy = p.blockedBy
 	return plan, assignment, err
@@ -335,6 +370,11 @@
 	if hasCallerLeft(x.r.Context()) {
 		return false, errCallerLeft
 	}
+	if !x.headWritten {
+		if err := x.checkShutdown(); err != nil {
+			return false, err
+		}
+	}
 	// Servers may have crashed under the request or a part of its prompt since it arrived.
 	if err := x.g.crashes.checkQuarantine(x); err != nil {
 		return false, err
@@ -395,13 +435,23 @@
 		x.g.codec.SetRetryAfter(h, x.retryAfter(err))
 	}
 	h.Set("Content-Type", "application/json")
-	x.w.WriteHeader(status)
+	x.writeStatus(status, time.Now().Add(writeGrace))
 	// A write error is ignored: the caller may have left, and nothing depends on
 	// this body.
 	_, _ = fmt.Fprintf(x.w, `{"error":%s}`, strconv.Quote(string(pwverdict.CauseOf(err))))
 	x.logStatus("refused", status, err)
 }
 
+// writeStatus writes the status and the headers of the response, the rest of which must be
+// written by latest.
+func (x *exchange) writeStatus(status int, latest time.Time) {
+	if x.g.shutdown.hasBegun() {
+		x.w.Header().Set("Connection", "close")
+	}
+	x.conn.setWriteDeadline(latest)
+	x.w.WriteHeader(status)
+}
+
 // retryAfter returns the Retry-After of a refusal. It is random unless the refusal
 // states one, so that refused callers don't all return at once.
 func (x *exchange) retryAfter(err error) time.Duration {
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -137,8 +137,9 @@
 	dispatcher *dispatcher
 	crashes    *crashTracker
 
-	catalog  atomic.Pointer[pwcatalog.Catalog]
-	stopping atomic.Bool
+	shutdown *shutdown
+
+	catalog atomic.Pointer[pwcatalog.Catalog]
 	// reservedMemory is the memory reserved for running requests, in bytes.
 	reservedMemory atomic.Int64
 	// storeContact returns when the store last responded.
@@ -159,6 +160,7 @@
 		pool:         pwupstream.New(cfg.Upstream),
 		obs:          obs,
 		storeContact: time.Now,
+		shutdown:     newShutdown(),
 	}
 	g.crashes = newCrashTracker(obs)
 	g.dispatcher = newDispatcher(pwfleet.New(cfg.Fleet), cfg.Deployment, cfg.Policy, obs)
@@ -171,10 +173,6 @@
 // SetOnLoadChange sets the function that is called when the load in flight changes.
 func (g *Gateway) SetOnLoadChange(notify func()) { g.dispatcher.onLoadChange = notify }
 
-// BeginShutdown makes further responses ask callers to close their connections.
-// Requests are still served.
-func (g *Gateway) BeginShutdown() { g.stopping.Store(true) }
-
 // Configured reports whether the gateway has a configuration.
 func (g *Gateway) Configured() bool { return g.catalog.Load() != nil }
 
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -77,7 +77,7 @@
 		Instance:        s.plan.Server.ID,
 		Workspace:       x.workspace,
 		StripCredential: x.stripCredential,
-		Remaining:       time.Until(x.deadline),
+		Remaining:       x.remaining(),
 		LastEventID:     x.lastEventID,
 		Urgency:         urgency(x, s.plan),
 		Helpers:         s.helpers,
@@ -267,6 +267,10 @@
 	if x.r.Context().Err() != nil || time.Until(x.deadline) <= 0 {
 		return false, err
 	}
+	if x.g.shutdown.isOver() {
+		// The server is not to blame.
+		return false, pwverdict.Wrap(errStopping, pwverdict.MayHaveRun, pwverdict.CauseDraining, "waiting for %s", s.plan.Server.ID)
+	}
 	if s.timedOut.Load() {
 		failure = pwfleet.FailureResponse
 	}
@@ -333,7 +337,7 @@
 		x.g.crashes.recordAnswer(s.plan.Server, x.sharedParts)
 	}
 	copyHeaders(x.w.Header(), resp.Header)
-	x.w.WriteHeader(resp.StatusCode)
+	x.writeStatus(resp.StatusCode, x.deadline.Add(writeGrace))
 	if _, err := x.w.Write(body); err != nil {
 		x.logOutcome("caller_left", err)
 		return false, nil
--- /dev/null
+++ b/internal/node/pwgateway/shutdown.go
@@ -0,0 +1,217 @@
+package pwgateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwdrain"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
+)
+
+// drainRetryAfter is the mean Retry-After of requests that are refused because the process
+// stops. It is short, because other processes can serve them now.
+const drainRetryAfter = 50 * time.Millisecond
+
+// lastWriteTime is the time in which the last bytes of responses may be written when the
+// shutdown is over.
+const lastWriteTime = 100 * time.Millisecond
+
+// errStopping is the reason for requests that end because the process stops.
+var errStopping = errors.New("the process stops")
+
+// shutdown is the planned end of a gateway. Before it begins, its times are not known.
+type shutdown struct {
+	durations *pwdrain.Durations
+	// begun is done when the shutdown begins, and over at answerBy.
+	begun, over       context.Context
+	begin, markAsOver context.CancelFunc
+
+	mu sync.Mutex
+	// answerBy is the time by which each request must have its answer.
+	answerBy time.Time
+}
+
+func newShutdown() *shutdown {
+	s := &shutdown{
+		durations: pwdrain.NewDurations(time.Now()),
+	}
+	s.begun, s.begin = context.WithCancel(context.Background())
+	s.over, s.markAsOver = context.WithCancel(context.Background())
+	return s
+}
+
+// BeginShutdown makes further responses ask callers to close their connections, and refuses
+// requests that can't finish until answerBy. Requests that still run then are ended: they
+// get a failure, or, if their response has begun, an aborted connection.
+func (g *Gateway) BeginShutdown(answerBy time.Time) {
+	s := g.shutdown
+	s.mu.Lock()
+	s.answerBy = answerBy
+	s.mu.Unlock()
+	s.begin()
+	time.AfterFunc(time.Until(answerBy), s.markAsOver)
+}
+
+func (s *shutdown) hasBegun() bool { return s.begun.Err() != nil }
+
+func (s *shutdown) isOver() bool { return s.over.Err() != nil }
+
+// deadline returns the time by which each request must have its answer. ok is false while
+// the shutdown has not begun.
+func (s *shutdown) deadline() (answerBy time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answerBy, !s.answerBy.IsZero()
+}
+
+// endBefore returns a context that also ends when the shutdown has begun and less than need
+// is left of it.
+func (s *shutdown) endBefore(ctx context.Context, need time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(s.begun, func() {
+		answerBy, _ := s.deadline()
+		timer := time.AfterFunc(time.Until(answerBy)-need, func() { cancel(errStopping) })
+		context.AfterFunc(ctx, func() { timer.Stop() })
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// endWithShutdown returns a context that also ends when the shutdown is over. Then a write
+// to a caller that does not read ends, too.
+func (x *exchange) endWithShutdown(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(x.g.shutdown.over, func() {
+		cancel(errStopping)
+		x.conn.setWriteDeadline(time.Now().Add(lastWriteTime))
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// timeout returns how long the request may take.
+func (x *exchange) timeout() time.Duration {
+	timeout := defaultTimeout
+	if x.metadata.Timeout > 0 {
+		timeout = x.metadata.Timeout
+	}
+	if x.route != nil && x.route.Timeout > 0 {
+		timeout = min(timeout, x.route.Timeout)
+	}
+	return timeout
+}
+
+// neededTime returns the time that the request must have left to be sent: that of recent
+// requests of its route, or all that it may take if there were none.
+func (x *exchange) neededTime() time.Duration { return x.g.shutdown.neededTime(x.route, x.timeout()) }
+
+func (s *shutdown) neededTime(route *pwcatalog.Route, timeout time.Duration) time.Duration {
+	if route == nil {
+		return timeout
+	}
+	return s.durations.Needed(time.Now(), route.Name, timeout)
+}
+
+// checkShutdown returns a refusal if the process stops before the request can finish.
+func (x *exchange) checkShutdown() error {
+	answerBy, ok := x.g.shutdown.deadline()
+	if !ok {
+		return nil
+	}
+	left, need := time.Until(answerBy), min(x.neededTime(), time.Until(x.deadline))
+	if need <= left {
+		return nil
+	}
+	return newDrainRefusal("the process stops in %s, the request may take %s",
+		left.Round(time.Millisecond), need.Round(time.Millisecond))
+}
+
+// newDrainRefusal returns a refusal of a request that the stopping process has not sent.
+func newDrainRefusal(format string, args ...any) error {
+	return &refusal{
+		error: pwverdict.New(pwverdict.NotRun, pwverdict.CauseDraining, format, args...).
+			WithRetryAfter(jitter(drainRetryAfter)),
+		status: http.StatusServiceUnavailable,
+	}
+}
+
+// remaining returns how long a server may work on the request.
+func (x *exchange) remaining() time.Duration {
+	remaining := time.Until(x.deadline)
+	if answerBy, ok := x.g.shutdown.deadline(); ok {
+		remaining = min(remaining, time.Until(answerBy))
+	}
+	return remaining
+}
+
+// callerConn sets deadlines on the connection of a caller until the exchange has ended.
+// Then the connection may carry another request.
+type callerConn struct {
+	rc  *http.ResponseController
+	obs *pwobserve.Observer
+
+	mu sync.Mutex
+	// bodyEnded and ended are set when no deadlines for reading, and no deadlines at all,
+	// may be set any more.
+	bodyEnded, ended bool
+}
+
+// setReadDeadline sets the time until which the body may be read.
+func (c *callerConn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.bodyEnded && c.rc.SetReadDeadline(t) != nil {
+		c.obs.Count("read_deadline_errors", 1)
+	}
+}
+
+// endBody lifts the deadline for reading after the whole body has been read. While the
+// request runs, the server reads from the connection to notice that the caller leaves; a
+// deadline would look like that.
+func (c *callerConn) endBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyEnded = true
+	if c.rc.SetReadDeadline(time.Time{}) != nil {
+		c.obs.Count("read_deadline_errors", 1)
+	}
+}
+
+// setWriteDeadline sets the time until which the response may be written.
+func (c *callerConn) setWriteDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended && c.rc.SetWriteDeadline(t) != nil {
+		c.obs.Count("write_deadline_errors", 1)
+	}
+}
+
+// end prevents further deadlines.
+func (c *callerConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodyEnded, c.ended = true, true
+}
+
+// limitBodyTime bounds the time for reading the body: by the timeout of the request, and in
+// a shutdown so that enough is left for the request itself. After stop, the bound does not
+// change any more.
+func (x *exchange) limitBodyTime() (stop func() bool) {
+	s, conn, route, timeout := x.g.shutdown, x.conn, x.route, x.timeout()
+	latest := x.arrivedAt.Add(timeout)
+	conn.setReadDeadline(latest)
+	return context.AfterFunc(s.begun, func() {
+		if answerBy, _ := s.deadline(); answerBy.Before(latest) {
+			conn.setReadDeadline(answerBy.Add(-s.neededTime(route, timeout)))
+		}
+	})
+}
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -154,7 +154,7 @@
 			s.recordFirstEvent()
 		}
 		if !x.headWritten {
-			s.writeHead(resp, rc)
+			s.writeHead(resp)
 		}
 		if _, err := x.w.Write(ev.raw); err != nil {
 			return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseCancelled, "writing to the caller")
@@ -219,17 +219,11 @@
 
 // writeHead writes the status and headers of the response, which come from the first
 // server that streams.
-func (s *send) writeHead(resp *http.Response, rc *http.ResponseController) {
+func (s *send) writeHead(resp *http.Response) {
 	x := s.x
 	x.headWritten = true
 	copyHeaders(x.w.Header(), resp.Header)
-	if x.g.stopping.Load() {
-		x.w.Header().Set("Connection", "close")
-	}
-	if err := rc.SetWriteDeadline(x.deadline.Add(writeGrace)); err != nil {
-		x.g.obs.Count("write_deadline_errors", 1)
-	}
-	x.w.WriteHeader(resp.StatusCode)
+	x.writeStatus(resp.StatusCode, x.deadline.Add(writeGrace))
 }
 
 // recordFirstEvent records that the server has finished the prefill.
@@ -259,7 +253,7 @@
 	x := s.x
 	if !x.headWritten {
 		// A stream without any event is complete when its server ends it.
-		s.writeHead(resp, http.NewResponseController(x.w))
+		s.writeHead(resp)
 	}
 	if _, err := x.w.Write(rest); err != nil {
 		return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseCancelled, "writing to the caller")
