Take requests that are likely to finish before a planned stop ends

Cause: what is left was compared with one and a half times the longest recent duration, for all requests.

Change: that margin holds for requests that may run only once. Others need as long as nine tenths of the recent requests took.

--- a/internal/core/pwdrain/drain.go
+++ b/internal/core/pwdrain/drain.go
@@ -3,70 +3,93 @@
 //
 // # Usage
 //
-//	durations := pwdrain.NewDurations(time.Now())
+//	durations := pwdrain.NewDurations()
 //	durations.Record(time.Now(), "notes", 900*time.Millisecond)
-//	need := durations.Needed(time.Now(), "notes", timeout)
+//	need := durations.Needed(time.Now(), "notes", timeout, pwdrain.Likely)
 //	if need > time.Until(end) {
 //		// refuse the request, so that its caller tries another process
 //	}
 package pwdrain
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// window is the length of the windows whose longest durations are remembered: that of
-	// the current one and of the one before it.
-	window = 30 * time.Second
+	// maxSamples is the number of requests of a route that are remembered.
+	maxSamples = 64
+	// maxAge is how long they are remembered.
+	maxAge = time.Minute
 	// maxRoutes bounds the routes that are remembered.
-	maxRoutes = 4096
-	// marginDivisor gives the margin that is added to the longest recent duration, as a
+	maxRoutes = 1024
+	// likelyQuantile is the part of the recent requests that took no longer than what
+	// Likely asks for.
+	likelyQuantile = 0.9
+	// marginDivisor gives the margin that Certain adds to the longest recent duration, as a
 	// part of it.
 	marginDivisor = 2
 )
 
-// longest holds the longest durations of a route in a window and the one before it.
-type longest struct {
-	window            int64
-	current, previous time.Duration
+// Confidence is how sure it must be that a request can finish.
+type Confidence uint8
+
+const (
+	// Certain is for requests that may run only once: a request that is cut off may have
+	// run, while one that is refused can be sent elsewhere.
+	Certain Confidence = iota
+	// Likely is for requests that may be repeated or resumed elsewhere.
+	Likely
+)
+
+// sample is the duration of a request and when it ended.
+type sample struct {
+	endedAt  time.Time
+	duration time.Duration
 }
 
-// advance moves on to a window.
-func (l *longest) advance(to int64) {
-	switch {
-	case to <= l.window:
+// ring holds the newest samples of a route. Once it is full, next is the oldest one.
+type ring struct {
+	samples []sample
+	next    int
+}
+
+func (r *ring) add(s sample) {
+	if len(r.samples) < maxSamples {
+		r.samples = append(r.samples, s)
 		return
-	case to == l.window+1:
-		l.previous = l.current
-	default:
-		l.previous = 0
 	}
-	l.current = 0
-	l.window = to
+	r.samples[r.next] = s
+	r.next = (r.next + 1) % maxSamples
+}
+
+// recent returns the durations that count at now, in ascending order.
+func (r *ring) recent(now time.Time) []time.Duration {
+	var out []time.Duration
+	for _, s := range r.samples {
+		if now.Sub(s.endedAt) < maxAge {
+			out = append(out, s.duration)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // Durations remembers how long requests took. It is safe for concurrent use.
 type Durations struct {
-	mu sync.Mutex
-	// start is the beginning of window 0.
-	start  time.Time
-	routes map[string]*longest
+	mu     sync.Mutex
+	routes map[string]*ring
 }
 
-// NewDurations returns a Durations whose windows count from start.
-func NewDurations(start time.Time) *Durations {
+// NewDurations returns an empty Durations.
+func NewDurations() *Durations {
 	return &Durations{
-		start:  start,
-		routes: make(map[string]*longest),
+		routes: make(map[string]*ring),
 	}
 }
 
-// windowAt returns the number of the window that now is in.
-func (r *Durations) windowAt(now time.Time) int64 { return int64(now.Sub(r.start) / window) }
-
-// Record records that a request of a route took d.
+// Record records that a request of a route took d and ended at now.
 func (r *Durations) Record(now time.Time, route string, d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -78,38 +101,41 @@
 		if len(r.routes) >= maxRoutes {
 			return
 		}
-		l = &longest{
-			window: r.windowAt(now),
-		}
+		l = &ring{}
 		r.routes[route] = l
 	}
-	l.advance(r.windowAt(now))
-	l.current = max(l.current, d)
+	l.add(sample{
+		endedAt:  now,
+		duration: d,
+	})
 }
 
 // forget removes the routes without a recent request. The caller holds mu.
 func (r *Durations) forget(now time.Time) {
 	for name, l := range r.routes {
-		if r.windowAt(now) > l.window+1 {
+		if len(l.recent(now)) == 0 {
 			delete(r.routes, name)
 		}
 	}
 }
 
-// Needed returns the time that a request of a route must have left in order to be taken:
-// the longest recent duration with a margin, but no more than its timeout. Of a route
-// without recent requests nothing is known but the timeout.
-func (r *Durations) Needed(now time.Time, route string, timeout time.Duration) time.Duration {
+// Needed returns the time that a request of a route must have left in order to be taken,
+// which is no more than its timeout. Of a route without recent requests nothing is known
+// but the timeout.
+func (r *Durations) Needed(now time.Time, route string, timeout time.Duration, c Confidence) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	l, ok := r.routes[route]
 	if !ok {
 		return timeout
 	}
-	l.advance(r.windowAt(now))
-	recent := max(l.current, l.previous)
-	if recent == 0 {
+	recent := l.recent(now)
+	if len(recent) == 0 {
 		return timeout
 	}
-	return min(timeout, recent+recent/marginDivisor)
+	if c == Likely {
+		return min(timeout, recent[int(likelyQuantile*float64(len(recent)-1))])
+	}
+	longest := recent[len(recent)-1]
+	return min(timeout, longest+longest/marginDivisor)
 }
--- a/internal/core/pwdrain/drain_test.go
+++ b/internal/core/pwdrain/drain_test.go
@@ -17,82 +17,96 @@
 func TestNeededFollowsRecentDurations(t *testing.T) {
 	start := time.Unix(1_700_000_000, 0)
 	const timeout = 10 * time.Second
-	r := NewDurations(start)
-	if got := r.Needed(start, "notes", timeout); got != timeout {
-		t.Errorf("an unknown route needs %s, want its timeout of %s", got, timeout)
-	}
-	r.Record(start, "notes", 2*time.Second)
-	r.Record(start, "notes", time.Second)
-	for after, want := range map[time.Duration]time.Duration{
-		0:                    3 * time.Second,
-		window:               3 * time.Second,
-		2*window - 1:         3 * time.Second,
-		4 * window:           timeout,
-		100 * 24 * time.Hour: timeout,
+	for name, tc := range map[string]struct {
+		recorded []time.Duration
+		after    time.Duration
+		timeout  time.Duration
+		certain  time.Duration
+		likely   time.Duration
+	}{
+		"unknown":         {timeout: timeout, certain: timeout, likely: timeout},
+		"one request":     {recorded: []time.Duration{2 * time.Second}, timeout: timeout, certain: 3 * time.Second, likely: 2 * time.Second},
+		"an exception":    {recorded: append(tenOf(time.Second), 4*time.Second), timeout: timeout, certain: 6 * time.Second, likely: time.Second},
+		"not yet too old": {recorded: tenOf(time.Second), after: maxAge - 1, timeout: timeout, certain: 1500 * time.Millisecond, likely: time.Second},
+		"too old":         {recorded: tenOf(time.Second), after: maxAge, timeout: timeout, certain: timeout, likely: timeout},
+		"short timeout":   {recorded: tenOf(time.Second), timeout: 100 * time.Millisecond, certain: 100 * time.Millisecond, likely: 100 * time.Millisecond},
 	} {
-		r := NewDurations(start)
-		r.Record(start, "notes", 2*time.Second)
-		r.Record(start, "notes", time.Second)
-		if got := r.Needed(start.Add(after), "notes", timeout); got != want {
-			t.Errorf("%s after the last request, the route needs %s, want %s", after, got, want)
-		}
-	}
-	if got := r.Needed(start, "notes", time.Second); got != time.Second {
-		t.Errorf("with a timeout of 1s, the route needs %s", got)
+		t.Run(name, func(t *testing.T) {
+			r := NewDurations()
+			for _, d := range tc.recorded {
+				r.Record(start, "notes", d)
+			}
+			now := start.Add(tc.after)
+			if got := r.Needed(now, "notes", tc.timeout, Certain); got != tc.certain {
+				t.Errorf("to be certain, the route needs %s, want %s", got, tc.certain)
+			}
+			if got := r.Needed(now, "notes", tc.timeout, Likely); got != tc.likely {
+				t.Errorf("the route is likely to need %s, want %s", got, tc.likely)
+			}
+		})
 	}
 }
 
-// naiveDuration is a recorded duration of the naive version.
-type naiveDuration struct {
-	at time.Time
-	d  time.Duration
+func tenOf(d time.Duration) []time.Duration {
+	out := make([]time.Duration, 10)
+	for i := range out {
+		out[i] = d
+	}
+	return out
 }
 
-// Compares with a naive version that keeps every duration: no duration of the current
-// or the previous window may be forgotten, and none of an earlier one may count.
+// Compares with a naive version that keeps every duration and counts those that are
+// shorter.
 func TestNeededAgreesWithNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const timeout = time.Hour
-		start := time.Unix(1_700_000_000, 0)
-		now := start
-		r := NewDurations(start)
-		var all []naiveDuration
-		for range rapid.IntRange(1, 60).Draw(t, "requests") {
-			now = now.Add(time.Duration(rapid.IntRange(0, int(window)).Draw(t, "pause")))
+		now := time.Unix(1_700_000_000, 0)
+		r := NewDurations()
+		var all []sample
+		for range rapid.IntRange(1, 2*maxSamples).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, int(maxAge/8)).Draw(t, "pause")))
 			d := time.Duration(rapid.IntRange(1, 1_000).Draw(t, "ms")) * time.Millisecond
 			r.Record(now, "notes", d)
-			all = append(all, naiveDuration{
-				at: now,
-				d:  d,
+			all = append(all, sample{
+				endedAt:  now,
+				duration: d,
 			})
-			current := int64(now.Sub(start) / window)
-			var want time.Duration
-			for _, n := range all {
-				if int64(n.at.Sub(start)/window) >= current-1 {
-					want = max(want, n.d)
+		}
+		counted := all[max(0, len(all)-maxSamples):]
+		var longest, likely time.Duration
+		total, shorter := 0, 0
+		likely = r.Needed(now, "notes", timeout, Likely)
+		for _, s := range counted {
+			if now.Sub(s.endedAt) < maxAge {
+				total++
+				longest = max(longest, s.duration)
+				if s.duration <= likely {
+					shorter++
 				}
 			}
-			if got := r.Needed(now, "notes", timeout); got != want+want/marginDivisor {
-				t.Fatalf("the route needs %s, want the longest duration, %s, with the margin", got, want)
-			}
+		}
+		if got := r.Needed(now, "notes", timeout, Certain); got != longest+longest/marginDivisor {
+			t.Fatalf("the route needs %s, want the longest duration, %s, with the margin", got, longest)
+		}
+		if float64(shorter) < likelyQuantile*float64(total-1) || likely > longest {
+			t.Fatalf("%s covers %d of %d recent requests", likely, shorter, total)
 		}
 	})
 }
 
 // Guards against a memory that grows with the routes of all configurations so far.
 func TestRoutesAreBounded(t *testing.T) {
-	start := time.Unix(1_700_000_000, 0)
-	now := start
-	r := NewDurations(start)
+	now := time.Unix(1_700_000_000, 0)
+	r := NewDurations()
 	for i := range 3 * maxRoutes {
 		r.Record(now, strconv.Itoa(i), time.Second)
 	}
 	if n := len(r.routes); n > maxRoutes {
 		t.Errorf("%d routes are remembered, want at most %d", n, maxRoutes)
 	}
-	now = now.Add(2 * window)
+	now = now.Add(maxAge)
 	r.Record(now, "new", time.Second)
-	if got := r.Needed(now, "new", time.Minute); got != 1500*time.Millisecond {
+	if got := r.Needed(now, "new", time.Minute, Likely); got != time.Second {
 		t.Errorf("a new route needs %s: those without requests have not made room", got)
 	}
 }
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -341,7 +341,7 @@
 		}
 		p.capacityWaitUntil = from.Add(time.Duration(x.g.cfg.Policy.WaitShare * float64(abandonTime)))
 	}
-	ctx, cancel := x.g.shutdown.endBefore(ctx, x.neededTime())
+	ctx, cancel := x.g.shutdown.endBefore(ctx, x.neededTime)
 	defer cancel()
 	plan, assignment, err := x.g.dispatcher.acquire(ctx, p)
 	if errors.Is(err, errStopping) {
--- a/internal/node/pwgateway/shutdown.go
+++ b/internal/node/pwgateway/shutdown.go
@@ -38,7 +38,7 @@
 
 func newShutdown() *shutdown {
 	s := &shutdown{
-		durations: pwdrain.NewDurations(time.Now()),
+		durations: pwdrain.NewDurations(),
 	}
 	s.begun, s.begin = context.WithCancel(context.Background())
 	s.over, s.markAsOver = context.WithCancel(context.Background())
@@ -69,13 +69,13 @@
 	return s.answerBy, !s.answerBy.IsZero()
 }
 
-// endBefore returns a context that also ends when the shutdown has begun and less than need
-// is left of it.
-func (s *shutdown) endBefore(ctx context.Context, need time.Duration) (context.Context, context.CancelFunc) {
+// endBefore returns a context that also ends when the shutdown has begun and less than
+// need() is left of it.
+func (s *shutdown) endBefore(ctx context.Context, need func() time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(s.begun, func() {
 		answerBy, _ := s.deadline()
-		timer := time.AfterFunc(time.Until(answerBy)-need, func() { cancel(errStopping) })
+		timer := time.AfterFunc(time.Until(answerBy)-need(), func() { cancel(errStopping) })
 		context.AfterFunc(ctx, func() { timer.Stop() })
 	})
 	return ctx, func() {
@@ -118,7 +118,11 @@
 	if route == nil {
 		return timeout
 	}
-	return s.durations.Needed(time.Now(), route.Name, timeout)
+	confidence := pwdrain.Certain
+	if route.Repeatable() {
+		confidence = pwdrain.Likely
+	}
+	return s.durations.Needed(time.Now(), route.Name, timeout, confidence)
 }
 
 // checkShutdown returns a refusal if the process stops before the request can finish.
--- a/internal/node/pwgateway/shutdown_test.go
+++ b/internal/node/pwgateway/shutdown_test.go
@@ -37,7 +37,7 @@
 				startedAt := time.Now()
 				ctx, cancel := context.WithTimeout(t.Context(), wait)
 				defer cancel()
-				ctx, cancel = g.shutdown.endBefore(ctx, tc.need)
+				ctx, cancel = g.shutdown.endBefore(ctx, func() time.Duration { return tc.need })
 				defer cancel()
 				<-ctx.Done()
 				if got := time.Since(startedAt); got != tc.want {
