Answer what still runs when the shutdown of an entry takes too long

Callers saw: prompts, streams and calls that lasted longer than the shutdown of their entry were cut without an answer.

Cause: when the time was over, the servers were closed first, and the requests failed only afterwards.

Change: the last part of the shutdown, a quarter or 4 s, is kept to fail what still runs, with the cause draining and the verdict that is known. The fake connections between entry and agent return when their context ends, as real ones do.

Result: TestEndRequestsAnswersCallers passes for prompts, streams and both kinds of calls; before, there was nothing that ended them.

--- a/internal/fake/pwfakefleet/link.go
+++ b/internal/fake/pwfakefleet/link.go
@@ -67,7 +67,18 @@
 		return nil, err
 	}
 	defer done()
-	resp, err := method(p)(ctx, req)
+	call := &unaryCall[Req, Resp]{
+		method: method(p),
+		done:   make(chan struct{}),
+	}
+	go call.run(ctx, req)
+	select {
+	case <-call.done:
+	case <-ctx.Done():
+		// A client does not wait for a response after that; the agent may go on.
+		return nil, errPathBroken
+	}
+	resp, err := call.resp, call.err
 	if l.isBroken(p) {
 		return nil, errPathBroken
 	}
@@ -80,6 +91,20 @@
 	return resp, nil
 }
 
+// unaryCall is a call of a method with one response. resp and err are set once done is
+// closed.
+type unaryCall[Req, Resp any] struct {
+	method func(context.Context, *Req) (*Resp, error)
+	resp   *Resp
+	err    error
+	done   chan struct{}
+}
+
+func (c *unaryCall[Req, Resp]) run(ctx context.Context, req *Req) {
+	defer close(c.done)
+	c.resp, c.err = c.method(ctx, req)
+}
+
 // delivery is a stream event on its way to the entry.
 type delivery[Ev any] struct {
 	event     *Ev
--- a/internal/node/pwentry/call.go
+++ b/internal/node/pwentry/call.go
@@ -74,6 +74,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	defer context.AfterFunc(e.callsCtx, func() { stop(context.Cause(e.callsCtx)) })()
 	run := &callRun{
 		entry:    e,
 		id:       id,
@@ -82,10 +85,11 @@
 
 		maxAttempts: attempts,
 	}
-	if method.Repeatable {
-		return run.runRepeatable(ctx)
+	res, err := run.run(ctx, method.Repeatable)
+	if err != nil && errors.Is(context.Cause(ctx), errStopped) {
+		err = pwverdict.Wrap(err, pwverdict.VerdictOf(err), pwverdict.CauseDraining, "entry was stopped before the call had ended")
 	}
-	return run.runAtMostOnce(ctx)
+	return res, err
 }
 
 // admitCall checks a call against the document of its service and counts it as running.
@@ -134,6 +138,13 @@
 	maxAttempts int
 }
 
+func (c *callRun) run(ctx context.Context, repeatable bool) (CallResult, error) {
+	if repeatable {
+		return c.runRepeatable(ctx)
+	}
+	return c.runAtMostOnce(ctx)
+}
+
 // runRepeatable retries a call until it succeeds, within its deadline, the limit on
 // attempts and the retry budget.
 func (c *callRun) runRepeatable(ctx context.Context) (CallResult, error) {
--- a/internal/node/pwentry/entry.go
+++ b/internal/node/pwentry/entry.go
@@ -143,6 +143,9 @@
 	// lifetimeCtx is the parent of all background work. It ends with Run.
 	lifetimeCtx context.Context
 	endLifetime context.CancelFunc
+	// callsCtx ends when EndRequests ends the running calls.
+	callsCtx  context.Context
+	stopCalls context.CancelCauseFunc
 }
 
 // service holds the document, router, queues and retry state of one service.
@@ -167,6 +170,7 @@
 		seed = rand.Uint64()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	callsCtx, stopCalls := context.WithCancelCause(ctx)
 	return &Entry{
 		cfg:                   cfg,
 		agents:                deps.Agents,
@@ -183,6 +187,8 @@
 		outOfService:          map[Target]bool{},
 		lifetimeCtx:           ctx,
 		endLifetime:           cancel,
+		callsCtx:              callsCtx,
+		stopCalls:             stopCalls,
 	}
 }
 
@@ -358,25 +364,6 @@
 	return e.cfg.SubsetSize
 }
 
-// Shutdown refuses new requests and waits until all admitted requests have ended. It
-// returns the error of ctx if ctx ends first.
-func (e *Entry) Shutdown(ctx context.Context) error {
-	e.mu.Lock()
-	e.draining = true
-	if e.drained == nil {
-		e.drained = make(chan struct{})
-	}
-	e.signalDrainedLocked()
-	drained := e.drained
-	e.mu.Unlock()
-	select {
-	case <-drained:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Draining reports whether Shutdown was called.
 func (e *Entry) Draining() bool {
 	e.mu.Lock()
--- a/internal/node/pwentry/flight.go
+++ b/internal/node/pwentry/flight.go
@@ -299,15 +299,21 @@
 
 // expire fails a request that hasn't ended by its deadline.
 func (f *InFlightRequest) expire() {
+	f.fail(pwverdict.CauseDeadlineExceeded, "request was still queued at its deadline", "request had not ended at its deadline")
+}
+
+// fail ends a request that hasn't ended yet. The error says queuedDetail if no attempt may
+// have run, and otherwise sentDetail.
+func (f *InFlightRequest) fail(cause pwverdict.Cause, queuedDetail, sentDetail string) {
 	f.mu.Lock()
-	verdict, detail := pwverdict.NotRun, "request was still queued at its deadline"
+	verdict, detail := pwverdict.NotRun, queuedDetail
 	if f.mayHaveRun {
-		verdict, detail = pwverdict.MayHaveRun, "request had not ended at its deadline"
+		verdict, detail = pwverdict.MayHaveRun, sentDetail
 	}
 	dispatchErr := f.dispatchErr
 	f.mu.Unlock()
 	if dispatchErr != nil {
 		detail += ": " + pwverdict.AsError(dispatchErr).Detail()
 	}
-	f.finish("error", pwverdict.New(verdict, pwverdict.CauseDeadlineExceeded, "%s", detail))
+	f.finish("error", pwverdict.New(verdict, cause, "%s", detail))
 }
--- /dev/null
+++ b/internal/node/pwentry/shutdown.go
@@ -0,0 +1,45 @@
+package pwentry
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+)
+
+// Shutdown refuses new requests and waits until all admitted requests have ended. It
+// returns the error of ctx if ctx ends first.
+func (e *Entry) Shutdown(ctx context.Context) error {
+	e.mu.Lock()
+	e.draining = true
+	if e.drained == nil {
+		e.drained = make(chan struct{})
+	}
+	e.signalDrainedLocked()
+	drained := e.drained
+	e.mu.Unlock()
+	select {
+	case <-drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// errStopped is the cause with which calls end when EndRequests is called.
+var errStopped = pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseDraining, "entry was stopped before the request had ended")
+
+// EndRequests fails the requests and calls that still run after Shutdown, so that their
+// callers get an answer before the process ends. It waits until they have ended, and
+// returns the error of ctx if ctx ends first.
+func (e *Entry) EndRequests(ctx context.Context) error {
+	e.stopCalls(errStopped)
+	e.mu.Lock()
+	running := slices.Collect(maps.Values(e.requests))
+	e.mu.Unlock()
+	for _, f := range running {
+		f.fail(pwverdict.CauseDraining, "entry was stopped while the request was queued", errStopped.Detail())
+	}
+	return e.Shutdown(ctx)
+}
--- /dev/null
+++ b/internal/node/pwentry/shutdown_test.go
@@ -0,0 +1,94 @@
+package pwentry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakefleet"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeservice"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
+)
+
+// Guards against requests and calls that are cut without an answer when the shutdown of an
+// entry takes too long.
+func TestEndRequestsAnswersCallers(t *testing.T) {
+	const (
+		prompt = `{"model":"` + pwfakefleet.Model + `","max_tokens":8000,"stream":STREAM,"messages":[{"role":"user","content":"a question"}]}`
+		call   = "/v1/services/" + pwfakefleet.PlainService + "/methods/"
+	)
+	for name, tc := range map[string]struct {
+		path, body, key string
+		// status is the status that the caller must get, and text a part of the body.
+		status int
+		text   string
+	}{
+		"prompt, whole answer":  {path: "/v1/chat/completions", body: strings.Replace(prompt, "STREAM", "false", 1), status: http.StatusServiceUnavailable, text: `"verdict":"may_have_run"`},
+		"prompt, stream":        {path: "/v1/chat/completions", body: strings.Replace(prompt, "STREAM", "true", 1), status: http.StatusOK, text: `"verdict":"may_have_run"`},
+		"call that runs once":   {path: call + pwfakeservice.MethodReserve, body: `{"item":"scaffold"}`, key: "k1", status: http.StatusServiceUnavailable, text: `"verdict":"may_have_run"`},
+		"call that is repeated": {path: call + pwfakeservice.MethodList, body: `{}`, status: http.StatusServiceUnavailable, text: `"verdict":"may_have_run"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				centres := []pwrequest.DataCentre{"hakata"}
+				docs, err := pwfakefleet.Documents(centres, 1, 1, "demo")
+				if err != nil {
+					t.Fatal(err)
+				}
+				fleet := pwfakefleet.New(t.Context(), pwfakefleet.Options{
+					DataCentres:           centres,
+					EnginesPerCentre:      1,
+					PlainServersPerCentre: 1,
+					Documents:             docs,
+				})
+				const slow = time.Minute
+				defer func() {
+					fleet.Close()
+					time.Sleep(slow)
+				}()
+				fleet.WarmUp()
+				fleet.Service.SetDelay(slow)
+				fleet.Service.SetFault(pwfakeservice.FaultSlow, 10)
+				api := pwentry.NewAPI(fleet.Entry(0))
+				answered := make(chan *httptest.ResponseRecorder, 1)
+				go func() {
+					w := httptest.NewRecorder()
+					r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, tc.path, strings.NewReader(tc.body))
+					r.Header.Set("Authorization", "Bearer demo"+pwfakefleet.CredentialSuffix)
+					r.Header.Set("Content-Type", "application/json")
+					r.Header.Set("Pomeloweir-Deadline-Ms", "3000000")
+					if tc.key != "" {
+						r.Header.Set("Idempotency-Key", tc.key)
+					}
+					api.ServeHTTP(w, r)
+					answered <- w
+				}()
+				time.Sleep(2 * time.Second)
+				ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+				defer cancel()
+				if err := fleet.Entry(0).Shutdown(ctx); err == nil {
+					t.Fatal("nothing runs any more")
+				}
+				ctx, cancel = context.WithTimeout(t.Context(), 4*time.Second)
+				defer cancel()
+				if err := fleet.Entry(0).EndRequests(ctx); err != nil {
+					t.Errorf("requests still run: %v", err)
+				}
+				synctest.Wait()
+				select {
+				case w := <-answered:
+					if w.Code != tc.status || !strings.Contains(w.Body.String(), tc.text) || !strings.Contains(w.Body.String(), "draining") {
+						t.Errorf("the caller got %d, %.300s; want %d with %s", w.Code, w.Body, tc.status, tc.text)
+					}
+				default:
+					t.Error("the caller has no answer")
+				}
+			})
+		})
+	}
+}
--- a/internal/node/pwprocess/entry.go
+++ b/internal/node/pwprocess/entry.go
@@ -102,12 +102,28 @@
 	return proc.shutdown(ctx, srv)
 }
 
-// shutdown waits until the admitted requests have ended before it closes the servers.
+const (
+	// maxAnswerTime is the time at the end of a shutdown in which the requests that still
+	// run are ended and their callers get an answer. It covers the abort of claims.
+	maxAnswerTime = 4 * time.Second
+	// answerTimeDivisor bounds that time by a part of the whole shutdown.
+	answerTimeDivisor = 4
+)
+
+// shutdown waits until the admitted requests have ended, and ends those that last too long,
+// before it closes the servers.
 func (p *entryProcess) shutdown(ctx context.Context, srv *httpServers) error {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.settings.Entry.ShutdownTimeout())
+	timeout := p.settings.Entry.ShutdownTimeout()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	p.obs.Info("shutting down")
-	err := p.entry.Shutdown(ctx)
+	drainCtx, cancelDrain := context.WithTimeout(ctx, timeout-min(maxAnswerTime, timeout/answerTimeDivisor))
+	defer cancelDrain()
+	err := p.entry.Shutdown(drainCtx)
+	if err != nil {
+		p.obs.Warn("requests are ended because the shutdown takes too long", err)
+		err = p.entry.EndRequests(ctx)
+	}
 	srv.stop(ctx)
 	return err
 }
