Abort the connection of a caller that has left

Cause: the gateway wrote no response for a caller that has left, and Go's server writes an empty 200 then.

Change: the connection is aborted.

--- a/internal/node/pwgateway/caller_test.go
+++ b/internal/node/pwgateway/caller_test.go
@@ -68,7 +68,9 @@
 			r.Header.Set("X-Attempt-Id", "a1")
 			r.Header.Set("X-Deadline-Milliseconds", "10000")
 			r.Header.Set("Authorization", "Bearer k1")
-			f.gateway.ServeHTTP(httptest.NewRecorder(), r)
+			if w, aborted := f.serve(r); aborted != (name != "stays") {
+				t.Errorf("aborted %t with status %d", aborted, w.Code)
+			}
 			want := 0
 			if name == "stays" {
 				want = 1
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -403,12 +403,14 @@
 	return s.execute(ctx)
 }
 
-// finishWithError ends a request that failed. A caller that has the head of a
-// streamed response already gets no other one; its connection is aborted.
+// finishWithError ends a request that failed. A caller that has left, or has the head of a
+// streamed response already, gets no response; its connection is aborted.
 func (x *exchange) finishWithError(ctx context.Context, err error) {
 	if x.r.Context().Err() != nil || errors.Is(err, errCallerLeft) {
 		x.logOutcome("caller_left", err)
-		return
+		// Without a response of the handler, the server would write an empty 200, and the
+		// caller may still read.
+		panic(http.ErrAbortHandler)
 	}
 	if x.headWritten {
 		x.logOutcome("cut", err)
--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -321,6 +321,12 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
+	return f.serve(r)
+}
+
+// serve serves a request as net/http does and reports whether the gateway aborted the
+// connection.
+func (f *fixture) serve(r *http.Request) (w *httptest.ResponseRecorder, aborted bool) {
 	w = httptest.NewRecorder()
 	defer func() {
 		if v := recover(); v != nil {
--- a/internal/node/pwgateway/keys_test.go
+++ b/internal/node/pwgateway/keys_test.go
@@ -191,8 +191,7 @@
 		r.Host = "h.example"
 		r.Header.Set("X-Attempt-Id", "a1")
 		r.Header.Set("Authorization", "Bearer k1")
-		w := httptest.NewRecorder()
-		f.gateway.ServeHTTP(w, r)
+		w, _ := f.serve(r)
 		requireStatus(t, w, http.StatusUnauthorized)
 		if n := len(f.backends["desk-1"].received()); n > 0 {
 			t.Errorf("%d requests with a revoked key ran", n)
