Abort streams of the own interface whose callers have left

Callers saw: one that shut its side of the connection down and read on got a stream that ended like a complete one, without its end event.

Cause: the handler returned, and Go's server writes the last chunk then.

Change: the connection is aborted. The fake caller serves requests as net/http does, which recovers from that.

Result: TestStreamOfCallerThatLeftIsAborted failed before and passes now.

--- a/internal/fake/pwfakecaller/caller.go
+++ b/internal/fake/pwfakecaller/caller.go
@@ -23,6 +23,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -141,7 +142,19 @@
 
 func (x *exchange) run() {
 	defer close(x.done)
-	x.api.ServeHTTP(x.response, x.request)
+	serve(x.api, x.response, x.request)
+}
+
+// serve serves a request as net/http does: a handler that aborts the connection ends the
+// response where it is.
+func serve(api *pwentry.API, w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		v := recover()
+		if err, ok := v.(error); v != nil && (!ok || !errors.Is(err, http.ErrAbortHandler)) {
+			panic(v)
+		}
+	}()
+	api.ServeHTTP(w, r)
 }
 
 // sendRequest sends a request and prints the response. With the argument only, it prints
--- a/internal/fake/pwfakecaller/sender.go
+++ b/internal/fake/pwfakecaller/sender.go
@@ -68,7 +68,7 @@
 		}
 	}
 	w := httptest.NewRecorder()
-	pwentry.NewAPI(e).ServeHTTP(w, r)
+	serve(pwentry.NewAPI(e), w, r)
 	return w, s.checkResponse(in, w)
 }
 
--- a/internal/node/pwentry/sse.go
+++ b/internal/node/pwentry/sse.go
@@ -90,7 +90,8 @@
 		return writeEvent(ctx, offset+int64(len(tokens)), b)
 	})
 	if ctx.Context().Err() != nil {
-		return
+		// The caller may still read, and a handler that returns completes the response.
+		panic(http.ErrAbortHandler)
 	}
 	b := w.newCompletion("chat.completion.chunk")
 	b.Offset = w.inFlight.Status().Tokens
--- /dev/null
+++ b/internal/node/pwentry/sse_test.go
@@ -0,0 +1,51 @@
+package pwentry_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakefleet"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
+)
+
+// Guards against a stream that ends like a complete one, without its end event, for a
+// caller that has shut its side of the connection down and reads on.
+func TestStreamOfCallerThatLeftIsAborted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		centres := []pwrequest.DataCentre{"hakata"}
+		docs, err := pwfakefleet.Documents(centres, 1, 1, "demo")
+		if err != nil {
+			t.Fatal(err)
+		}
+		fleet := pwfakefleet.New(t.Context(), pwfakefleet.Options{
+			DataCentres:      centres,
+			EnginesPerCentre: 1,
+			Documents:        docs,
+		})
+		defer fleet.Close()
+		fleet.WarmUp()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/chat/completions", strings.NewReader(
+			`{"model":"`+pwfakefleet.Model+`","max_tokens":8000,"stream":true,"messages":[{"role":"user","content":"a question"}]}`))
+		r.Header.Set("Authorization", "Bearer demo"+pwfakefleet.CredentialSuffix)
+		r.Header.Set("Content-Type", "application/json")
+		w := httptest.NewRecorder()
+		defer func() {
+			if err, ok := recover().(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				t.Errorf("the handler returned, so that the response looks complete after %d bytes", w.Body.Len())
+			}
+			if strings.Contains(w.Body.String(), "[DONE]") || !strings.Contains(w.Body.String(), "chat.completion.chunk") {
+				t.Errorf("the caller got %.300s; want some tokens and no end", w.Body)
+			}
+		}()
+		pwentry.NewAPI(fleet.Entry(0)).ServeHTTP(w, r)
+	})
+}
