Keep servers whose weights differ from those that a caller expects

Cause: any 421 was taken for proof that another server has the address, which holds until the server's entry changes.

Change: the id in the answer, or that the caller expects certain weights, tells the two meanings of the status apart. Such a request is tried at two servers and then refused with a Retry-After.

--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -69,6 +69,8 @@
 	runs         int
 	rejections   int
 	triedServers map[string]bool
+	// weightRejections counts the rejections for other weights than the caller expects.
+	weightRejections int
 	// headWritten is set when the head of a streamed response has been written.
 	headWritten bool
 	// lastEventID is the event after which the stream is resumed.
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -44,6 +44,8 @@
 	// PromptParts holds the identifiers of the parts of the prompt, in order. Requests
 	// share parts; the last one belongs to the request or its session.
 	PromptParts []string
+	// ExpectsWeights is set if only servers with certain weights may run the request.
+	ExpectsWeights bool
 }
 
 // Helper is an engine that runs the prefill of a part of a prompt.
@@ -78,8 +80,11 @@
 	Signed bool
 	// NotRun is set when the server states that it has not run the request.
 	NotRun bool
-	// Misdirected is set when the address now belongs to another server.
+	// Misdirected is set when the request is not meant for the server that responds: it is
+	// another one than the expected server, or has other weights than the caller expects.
 	Misdirected bool
+	// Instance is the id of the server that responds, or "" if it is not stated.
+	Instance string
 	// RejectedBy is the address of the server that caused a rejection, or "".
 	RejectedBy string
 	// Limit is the number of requests a second that the server takes from all processes
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -29,6 +29,11 @@
 	holdMargin = 300 * time.Millisecond
 	// renewalsPerHold is how often a reservation is renewed before it would expire.
 	renewalsPerHold = 2.5
+	// maxWeightRejections limits the servers that are tried for a request whose caller
+	// expects weights that they don't have. Each of them counts as a retry.
+	maxWeightRejections = 2
+	// weightsRetryAfter is when the caller of such a request may retry.
+	weightsRetryAfter = time.Second
 	// releaseInterval is the wait between attempts to release memory.
 	releaseInterval = 200 * time.Millisecond
 )
@@ -230,8 +235,10 @@
 			rejecter = h.ID
 		}
 	}
+	otherWeights := metadata.Misdirected && s.hasOtherWeights(rejecter, metadata)
 	x.g.dispatcher.withFleet(func(now time.Time, f *pwfleet.Fleet) {
 		switch {
+		case otherWeights:
 		case metadata.Misdirected:
 			f.MarkReplaced(rejecter)
 		case rejecter != s.plan.Server.ID:
@@ -246,6 +253,12 @@
 		"placed_ms", time.Since(s.placedAt).Milliseconds(),
 	))
 	x.rejections++
+	if otherWeights {
+		x.weightRejections++
+		x.triedServers[rejecter] = true
+		return x.weightRejections < maxWeightRejections, pwverdict.New(pwverdict.NotRun, pwverdict.CauseNoCandidate,
+			"%s has other weights than the request expects", rejecter).WithRetryAfter(weightsRetryAfter)
+	}
 	cause := pwverdict.CauseMemoryFull
 	if rejecter != s.plan.Server.ID {
 		cause = pwverdict.CauseUnavailable
@@ -254,6 +267,16 @@
 	return x.rejections < x.g.cfg.Policy.MaxRejections, err
 }
 
+// hasOtherWeights reports whether a misdirected request was rejected for the weights that its
+// caller expects, and not because another server has taken the address.
+// The response may state which server sent it; of a helper that is at fault, that says nothing.
+func (s *send) hasOtherWeights(rejecter string, metadata ResponseMetadata) bool {
+	if metadata.Instance != "" && rejecter == s.plan.Server.ID {
+		return metadata.Instance == rejecter
+	}
+	return s.x.metadata.ExpectsWeights
+}
+
 // handleNoResponse handles a request that was sent and got no response of its own.
 func (s *send) handleNoResponse(err error) (bool, error) {
 	s.x.runs++
