Let foreign entries hide no running server

Cause: of the entries at one address, only the one that started last counted, whatever its service and whoever answers there.

Change: entries of services that are not configured, and of servers that are known not to be at the address, do not count.

--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -341,6 +341,9 @@
 		}
 		f.coldRate[s.Name] = s.ColdRequestsPerSecond
 	}
+	for address := range f.byAddress {
+		f.markSuperseded(address)
+	}
 }
 
 // Upsert adds or updates a server. A new incarnation or address resets the failure
@@ -570,5 +573,6 @@
 func (f *Fleet) MarkReplaced(id string) {
 	if s := f.servers[id]; s != nil {
 		s.replaced = true
+		f.markSuperseded(s.info.Address)
 	}
 }
