Remember claims that the table has confirmed

Callers saw: after the table service came back from an older copy, a call that runs at most once ran again for a repeat.

Cause: the claim row was the only memory of the call.

Change: each process remembers the rows that it has written for 15 minutes. A row that can't follow such a write shows that the table has lost it; the process acts on the lost row and writes it again.

What processes without that memory do is unchanged.

--- a/internal/state/pwclaim/claim.go
+++ b/internal/state/pwclaim/claim.go
@@ -60,6 +60,13 @@
 // The protocol relies on two properties: a read returns every write that was
 // confirmed before it, and the retention time is longer than the delay of any late
 // write.
+//
+// # A table from an older copy
+//
+// A table that comes back from an older copy lacks confirmed writes. Each store remembers
+// the rows that it has written in the last minutes. It detects a row that cannot follow
+// such a write, acts on the lost row and writes it again. A process that has written
+// nothing to a key, and comes before those that have, does not notice the loss.
 package pwclaim
 
 import (
@@ -272,6 +279,7 @@
 	table       Table
 	cfg         Config
 	unconfirmed unconfirmedDispatches
+	confirmed   confirmedRows
 }
 
 // New returns a store whose claim rows are in the given table.
@@ -352,7 +360,7 @@
 	if err := k.validate(); err != nil {
 		return Record{}, err
 	}
-	cur, _, err := s.readRow(ctx, k)
+	cur, _, _, err := s.readRow(ctx, k)
 	if err != nil {
 		return Record{}, withVerdict(err, pwverdict.MayHaveRun)
 	}
@@ -468,12 +476,17 @@
 				break
 			}
 		}
-		cur, version, err := s.readRow(ctx, k)
+		cur, version, lost, err := s.readRow(ctx, k)
 		if err != nil {
 			lastErr = err
 		} else {
 			next, write, err := decide(cur)
 			if err != nil || !write {
+				if lost {
+					// Other processes don't know of the lost row. If this write fails, the
+					// next operation of this store on the key repeats it.
+					_, _ = s.writeRow(ctx, k, cur, version)
+				}
 				return cur, err
 			}
 			if try == s.cfg.Tries {
@@ -500,16 +513,24 @@
 	return row{}, pwverdict.Wrap(lastErr, verdict, cause, "claim row of key %q could not be changed", k.IdempotencyKey)
 }
 
-func (s *Store) readRow(ctx context.Context, k Key) (row, uint64, error) {
+// readRow returns the row of a key and its version in the table. If the table has lost a row
+// that this store has written, lost is set, and the row that the key must have is returned.
+func (s *Store) readRow(ctx context.Context, k Key) (cur row, version uint64, lost bool, err error) {
 	stored, err := s.table.Get(ctx, k.tableKey())
-	if err != nil {
-		if pwverdict.CauseOf(err) == pwverdict.CauseNotFound {
-			return row{}, 0, nil
+	switch {
+	case err == nil:
+		if cur, err = decodeRow(stored.Value); err != nil {
+			return row{}, 0, false, err
 		}
-		return row{}, 0, err
+	case pwverdict.CauseOf(err) != pwverdict.CauseNotFound:
+		return row{}, 0, false, err
 	}
-	cur, err := decodeRow(stored.Value)
-	return cur, stored.Version, err
+	if written, ok := s.confirmed.get(k.tableKey()); ok {
+		if restored, lost := restoredRow(written, cur); lost {
+			return restored, stored.Version, true, nil
+		}
+	}
+	return cur, stored.Version, false, nil
 }
 
 func (s *Store) writeRow(ctx context.Context, k Key, next row, expectedVersion uint64) (confirmed bool, err error) {
@@ -517,12 +538,15 @@
 	if err != nil {
 		return false, pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseInternal, "claim row could not be encoded")
 	}
-	_, err = s.table.Commit(ctx, pwtable.Write{
+	if _, err = s.table.Commit(ctx, pwtable.Write{
 		Key:             k.tableKey(),
 		Value:           value,
 		ExpectedVersion: expectedVersion,
-	})
-	return err == nil, err
+	}); err != nil {
+		return false, err
+	}
+	s.confirmed.put(k.tableKey(), next)
+	return true, nil
 }
 
 // waitBackoff waits for the jittered delay before retry n+1. The delay doubles with
