Stop an entry in calm at the end of each soak

Callers go on using its open connections, some of them for the first time and with slow bodies, while one plain server stalls. Each request that was passed on, or waited for longer than the platform's slack, must get an answer.

--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -557,7 +557,8 @@
 // configuration returns the operator's configuration: a resumable streaming route to
 // the first service, and an unsafe and a safe route to the second. A further route is
 // only in this version.
-func configuration(version int64, services []string) json.RawMessage {
+func configuration(version int64, plainTimeout time.Duration) json.RawMessage {
+	services := []string{"model", "desk"}
 	routes := make([]map[string]any, 0, 4)
 	addRoute := func(prefix, kind, service string, timeout int, extra map[string]any) {
 		r := map[string]any{
@@ -570,9 +571,9 @@
 		routes = append(routes, r)
 	}
 	addRoute("note", "streaming", services[0], 8000, map[string]any{"resumable": true, "target-gap-ms": 250})
-	addRoute("book", "unsafe", services[1], 3000, nil)
-	addRoute("view", "safe", services[1], 3000, nil)
-	addRoute(versionRoute(version), "safe", services[1], 3000, nil)
+	addRoute("book", "unsafe", services[1], int(plainTimeout.Milliseconds()), nil)
+	addRoute("view", "safe", services[1], int(plainTimeout.Milliseconds()), nil)
+	addRoute(versionRoute(version), "safe", services[1], int(plainTimeout.Milliseconds()), nil)
 	raw, err := json.Marshal(map[string]any{
 		"version": version,
 		"routes":  routes,
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -82,6 +82,10 @@
 	maxPortTries = 1000
 	// crashingOneIn is the number of requests of which one has the crashing part.
 	crashingOneIn = 8
+	// plainTimeout is the timeout of the requests to plain services, and longTimeout the same
+	// during a planned stop, which it exceeds.
+	plainTimeout = 3 * time.Second
+	longTimeout  = 8 * time.Second
 	// sharedParts is the number of parts that the other prompts share.
 	sharedParts = 5
 )
@@ -131,6 +135,8 @@
 	takenPorts   map[int]bool
 	// version is the version of the newest configuration.
 	version atomic.Int64
+	// stopping is the entry of a planned stop, or nil.
+	stopping atomic.Pointer[entry]
 
 	mu             sync.Mutex
 	report         Report
@@ -181,7 +187,7 @@
 	}
 	s.common.onCrash = func(b *backend) { s.replaceCrashed(ctx, b) }
 	oldCopy := s.store.Copy()
-	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
+	s.store.Put("op", "config", configuration(s.version.Add(1), plainTimeout))
 	s.injectFaults(ctx)
 	s.clearFaults()
 	s.restoreStore(ctx, oldCopy, finalOutage)
@@ -190,7 +196,7 @@
 	s.server(1).setLeaving()
 	s.server(2).setRest(restTime)
 	sleep(ctx, stableWindow)
-	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
+	s.store.Put("op", "config", configuration(s.version.Add(1), plainTimeout))
 	sleep(ctx, applyTimeout)
 	s.checkConfiguration(ctx)
 	sleep(ctx, time.Until(calmFrom.Add(recoveryTime)))
@@ -199,11 +205,15 @@
 	before := s.report
 	s.mu.Unlock()
 	sleep(ctx, 2*time.Second)
+	s.mu.Lock()
+	after := s.report
+	s.mu.Unlock()
+	s.checkPlannedStop(ctx)
 	cancel()
 	wg.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.report.UnservedAfterRecovery = s.report.Refused + s.report.Failed - before.Refused - before.Failed
+	s.report.UnservedAfterRecovery = after.Refused + after.Failed - before.Refused - before.Failed
 	return s.report, nil
 }
 
@@ -274,7 +284,7 @@
 		_ = srv.Serve(lis)
 	}()
 	context.AfterFunc(ctx, func() { _ = srv.Close() })
-	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
+	s.store.Put("op", "config", configuration(s.version.Add(1), plainTimeout))
 	for i := range modelServers + deskServers {
 		if err := s.addServer(ctx, i); err != nil {
 			return err
@@ -658,7 +668,7 @@
 func (s *soak) corruptConfiguration(ctx context.Context, pause time.Duration) {
 	s.store.PutInvalidRow("op", "config")
 	sleep(ctx, pause)
-	s.store.Put("op", "config", configuration(s.version.Add(1), []string{"model", "desk"}))
+	s.store.Put("op", "config", configuration(s.version.Add(1), plainTimeout))
 }
 
 // replaceServer starts a new server in slot i and removes the old one, which either
@@ -759,10 +769,12 @@
 		r.Header.Set("X-Prompt-Prefix", strings.Join(parts, ":40,")+":40")
 	}
 	s.runs.recordOrigin(id, e.index)
+	sentAt := time.Now()
 	status, got, err := roundTrip(client, r)
 	if ctx.Err() != nil {
 		return false
 	}
+	s.checkAnswered(e, route, id, status, sentAt, err)
 	// Requests with the crashing part are not missed, so their outcome does not count.
 	s.checkResponse(route, id, body, status, got, err, len(parts) == 2)
 	return err == nil
