--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -379,15 +379,14 @@
 	}
 }
 
-// proxy relays connections from the entries to one backend server, and can delay,
-// stall or reset them, or replace responses.
+// proxy relays connections from the entries to one backend server, and can stall or reset
+// them, or replace responses.
 type proxy struct {
 	lis    net.Listener
 	target string
 
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
-	delay   time.Duration
 	stalled bool
 	// endless replaces responses by a head without an end. mostEndless is the largest
 	// number of bytes that one connection took of it.
@@ -455,7 +454,6 @@
 		for p.isStalled() {
 			time.Sleep(5 * time.Millisecond)
 		}
-		time.Sleep(p.currentDelay())
 		if responses && p.isEndless() {
 			p.writeEndless(to)
 			return
@@ -472,12 +470,6 @@
 	return p.stalled && !p.closed
 }
 
-func (p *proxy) currentDelay() time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.delay
-}
-
 func (p *proxy) isEndless() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -516,10 +508,10 @@
 	return p.mostEndless
 }
 
-func (p *proxy) setFault(delay time.Duration, stalled bool) {
+func (p *proxy) setStalled(stalled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.delay, p.stalled = delay, stalled
+	p.stalled = stalled
 }
 
 func (p *proxy) closeConns(conns ...net.Conn) {
--- a/internal/fake/pwsoak/plannedstop.go
+++ b/internal/fake/pwsoak/plannedstop.go
@@ -41,8 +41,8 @@
 	s.stopping.Store(p.entry)
 	defer s.stopping.Store(nil)
 	stalled := s.server(modelServers + s.rng.IntN(deskServers))
-	stalled.proxy.setFault(0, true)
-	defer stalled.proxy.setFault(0, false)
+	stalled.proxy.setStalled(true)
+	defer stalled.proxy.setStalled(false)
 	var wg sync.WaitGroup
 	for i := range lateCallers {
 		wg.Add(1)
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -542,9 +542,9 @@
 	default:
 		return fmt.Sprintf("stall connections of server %d for %s", i, pause), func(ctx context.Context) {
 			p := s.server(i).proxy
-			p.setFault(0, true)
+			p.setStalled(true)
 			sleep(ctx, pause)
-			p.setFault(0, false)
+			p.setStalled(false)
 		}
 	}
 }
@@ -703,7 +703,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, b := range s.servers {
-		b.proxy.setFault(0, false)
+		b.proxy.setStalled(false)
 	}
 }
 
