--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -268,8 +268,8 @@
 }
 
 // hasOtherWeights reports whether a misdirected request was rejected for the weights that its
-// caller expects, and not because another server has taken the address.
-// The response may state which server sent it; of a helper that is at fault, that says nothing.
+// caller expects, and not because another server has taken the address. The response may state
+// which server sent it; if a helper is at fault, that says nothing.
 func (s *send) hasOtherWeights(rejecter string, metadata ResponseMetadata) bool {
 	if metadata.Instance != "" && rejecter == s.plan.Server.ID {
 		return metadata.Instance == rejecter
