--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakecatalog"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeplatform"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwgateway"
@@ -32,29 +33,6 @@
 	promptRefusal = 50 * time.Millisecond
 )
 
-// pipeListener is a listener of in-memory connections.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // stopFixture is a gateway that is stopped while callers use it. The last part of a path
 // is the time in milliseconds that the backend server takes.
 type stopFixture struct {
@@ -62,7 +40,7 @@
 	process  *process
 	server   *http.Server
 	conns    *connTracker
-	listener *pipeListener
+	listener *pwfakeplatform.PipeListener
 	startAt  time.Time
 
 	mu sync.Mutex
@@ -73,11 +51,8 @@
 func newStopFixture(t *testing.T) *stopFixture {
 	t.Helper()
 	f := &stopFixture{
-		t: t,
-		listener: &pipeListener{
-			conns:  make(chan net.Conn),
-			closed: make(chan struct{}),
-		},
+		t:        t,
+		listener: pwfakeplatform.NewPipeListener(),
 		passedOn: make(map[string]int),
 	}
 	deployment := pwdeployment.Deployment{
@@ -264,18 +239,16 @@
 
 // run makes one call and returns its result.
 func (f *stopFixture) run(id string, call stopCall) stopResult {
-	near, far := net.Pipe()
 	time.Sleep(time.Until(f.startAt.Add(call.opened)))
-	select {
-	case f.listener.conns <- far:
-	case <-f.listener.closed:
+	c, err := f.listener.Dial(f.t.Context())
+	if err != nil {
 		return stopResult{
-			err: net.ErrClosed,
+			err: err,
 		}
 	}
-	defer func() { _ = near.Close() }()
+	defer func() { _ = c.Close() }()
 	time.Sleep(time.Until(f.startAt.Add(call.sentAt)))
-	return f.exchange(near, bufio.NewReader(near), id, call)
+	return f.exchange(c, bufio.NewReader(c), id, call)
 }
 
 // exchange sends one request on an open connection and reads the response.
@@ -440,17 +413,15 @@
 // on was answered.
 func (f *stopFixture) useUntilClosed(name, path string, opened time.Duration) {
 	time.Sleep(time.Until(f.startAt.Add(opened)))
-	near, far := net.Pipe()
-	select {
-	case f.listener.conns <- far:
-	case <-f.listener.closed:
-		return
+	c, err := f.listener.Dial(f.t.Context())
+	if err != nil {
+		return // closed
 	}
-	defer func() { _ = near.Close() }()
-	br := bufio.NewReader(near)
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
 	for n := 0; ; n++ {
 		id := fmt.Sprintf("%s.%d", name, n)
-		res := f.exchange(near, br, id, stopCall{
+		res := f.exchange(c, br, id, stopCall{
 			path:     path,
 			deadline: 10 * time.Second,
 		})
--- a/internal/fake/pwfakeplatform/pipe.go
+++ b/internal/fake/pwfakeplatform/pipe.go
@@ -13,7 +13,7 @@
 // a synctest bubble needs no network.
 type PipeServer struct {
 	server   *http.Server
-	listener *pipeListener
+	listener *PipeListener
 	client   *http.Client
 	refusing atomic.Bool
 }
@@ -28,10 +28,7 @@
 			Handler:           h,
 			ReadHeaderTimeout: readHeaderTimeout,
 		},
-		listener: &pipeListener{
-			conns:  make(chan net.Conn),
-			closed: make(chan struct{}),
-		},
+		listener: NewPipeListener(),
 	}
 	s.client = &http.Client{
 		Transport: &http.Transport{
@@ -70,26 +67,39 @@
 			Err: net.ErrClosed,
 		}
 	}
+	return s.listener.Dial(ctx)
+}
+
+// PipeListener is a net.Listener that accepts the server ends of in-memory pipes.
+type PipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+// NewPipeListener returns an open listener.
+func NewPipeListener() *PipeListener {
+	return &PipeListener{
+		conns:  make(chan net.Conn),
+		closed: make(chan struct{}),
+	}
+}
+
+// Dial opens a connection to the listener. It waits until the connection is accepted.
+func (l *PipeListener) Dial(ctx context.Context) (net.Conn, error) {
 	client, server := net.Pipe()
 	select {
-	case s.listener.conns <- server:
+	case l.conns <- server:
 		return client, nil
-	case <-s.listener.closed:
+	case <-l.closed:
 		return nil, net.ErrClosed
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 }
 
-// pipeListener is a net.Listener that accepts the server ends of in-memory pipes.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
 // Accept implements net.Listener. It waits for the next dialled connection.
-func (l *pipeListener) Accept() (net.Conn, error) {
+func (l *PipeListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
 		return c, nil
@@ -99,10 +109,10 @@
 }
 
 // Addr implements net.Listener. In-memory connections have no address.
-func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{} }
+func (l *PipeListener) Addr() net.Addr { return &net.UnixAddr{} }
 
 // Close implements net.Listener. Repeated calls have no effect.
-func (l *pipeListener) Close() error {
+func (l *PipeListener) Close() error {
 	l.once.Do(func() { close(l.closed) })
 	return nil
 }
--- a/internal/node/pwentry/shutdown_test.go
+++ b/internal/node/pwentry/shutdown_test.go
@@ -9,7 +9,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakefleet"
 	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeservice"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
@@ -35,32 +34,19 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				centres := []pwrequest.DataCentre{"hakata"}
-				docs, err := pwfakefleet.Documents(centres, 1, 1, "demo")
-				if err != nil {
-					t.Fatal(err)
-				}
-				fleet := pwfakefleet.New(t.Context(), pwfakefleet.Options{
-					DataCentres:           centres,
-					EnginesPerCentre:      1,
-					PlainServersPerCentre: 1,
-					Documents:             docs,
-				})
+				fleet := newSmallFleet(t)
 				const slow = time.Minute
 				defer func() {
 					fleet.Close()
 					time.Sleep(slow)
 				}()
-				fleet.WarmUp()
 				fleet.Service.SetDelay(slow)
 				fleet.Service.SetFault(pwfakeservice.FaultSlow, 10)
 				api := pwentry.NewAPI(fleet.Entry(0))
 				answered := make(chan *httptest.ResponseRecorder, 1)
 				go func() {
 					w := httptest.NewRecorder()
-					r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, tc.path, strings.NewReader(tc.body))
-					r.Header.Set("Authorization", "Bearer demo"+pwfakefleet.CredentialSuffix)
-					r.Header.Set("Content-Type", "application/json")
+					r := newDemoRequest(t.Context(), tc.path, tc.body)
 					r.Header.Set("Pomeloweir-Deadline-Ms", "3000000")
 					if tc.key != "" {
 						r.Header.Set("Idempotency-Key", tc.key)
--- a/internal/node/pwentry/sse_test.go
+++ b/internal/node/pwentry/sse_test.go
@@ -10,7 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakefleet"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 )
@@ -19,24 +18,12 @@
 // caller that has shut its side of the connection down and reads on.
 func TestStreamOfCallerThatLeftIsAborted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		centres := []pwrequest.DataCentre{"hakata"}
-		docs, err := pwfakefleet.Documents(centres, 1, 1, "demo")
-		if err != nil {
-			t.Fatal(err)
-		}
-		fleet := pwfakefleet.New(t.Context(), pwfakefleet.Options{
-			DataCentres:      centres,
-			EnginesPerCentre: 1,
-			Documents:        docs,
-		})
+		fleet := newSmallFleet(t)
 		defer fleet.Close()
-		fleet.WarmUp()
 		ctx, cancel := context.WithCancel(t.Context())
 		time.AfterFunc(time.Second, cancel)
-		r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/v1/chat/completions", strings.NewReader(
-			`{"model":"`+pwfakefleet.Model+`","max_tokens":8000,"stream":true,"messages":[{"role":"user","content":"a question"}]}`))
-		r.Header.Set("Authorization", "Bearer demo"+pwfakefleet.CredentialSuffix)
-		r.Header.Set("Content-Type", "application/json")
+		r := newDemoRequest(ctx, "/v1/chat/completions",
+			`{"model":"`+pwfakefleet.Model+`","max_tokens":8000,"stream":true,"messages":[{"role":"user","content":"a question"}]}`)
 		w := httptest.NewRecorder()
 		defer func() {
 			if err, ok := recover().(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
