Stop trusting removed authorities beside an unusable certificate

Operators would have seen: a removed authority stays trusted while the certificate or key beside it cannot be used.

Cause: TLS files were taken over as one set or not at all.

Change: authorities that can be read are in force all the same.

Result: TestRemovedAuthorityIsNotTrustedBesideUnusableKey failed before and passes now.

--- a/internal/node/pwsecurity/cert_watcher.go
+++ b/internal/node/pwsecurity/cert_watcher.go
@@ -18,7 +18,8 @@
 // # Files
 //
 // Run reloads the files when they change. If a new set of files cannot be used,
-// the previous set stays in force and the next poll tries again.
+// the previous certificate stays in force and the next poll tries again. Authorities that
+// can be read are in force all the same, so that one that was removed is not trusted.
 package pwsecurity
 
 import (
@@ -31,6 +32,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -128,8 +130,9 @@
 	case err != nil:
 		w.obs.Count("tls_reload_failures", 1)
 		if digest != w.failedDigest {
+			replaced := w.replaceAuthorities()
 			w.obs.Warn("TLS files cannot be used; the previous ones stay in force", err,
-				"certificate_expires", w.Expiry().UTC().Format(time.RFC3339))
+				"certificate_expires", w.Expiry().UTC().Format(time.RFC3339), "authorities_replaced", strconv.FormatBool(replaced))
 		}
 		w.failedDigest = digest
 	case m.digest != w.current.Load().digest:
@@ -139,6 +142,26 @@
 	}
 }
 
+// replaceAuthorities makes the authorities in their file the trusted ones, with the certificate
+// that is in force. It reports whether they differ from those trusted before.
+func (w *CertWatcher) replaceAuthorities() bool {
+	ca, err := readFile(w.files.CAFile)
+	if err != nil {
+		return false // reported with the whole set
+	}
+	pool, current := x509.NewCertPool(), w.current.Load()
+	if !pool.AppendCertsFromPEM(ca) || pool.Equal(current.authorities) {
+		return false
+	}
+	w.activate(&keyMaterial{
+		certificate: current.certificate,
+		authorities: pool,
+		// The files still differ from the digest of those in force.
+		digest: current.digest,
+	})
+	return true
+}
+
 func (w *CertWatcher) activate(m *keyMaterial) {
 	w.current.Store(m)
 	w.obs.SetGauge("tls_certificate_expires_unix_s", m.certificate.Leaf.NotAfter.Unix())
--- a/internal/node/pwsecurity/security_test.go
+++ b/internal/node/pwsecurity/security_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -286,6 +287,69 @@
 	})
 }
 
+// TestRemovedAuthorityIsNotTrustedBesideUnusableKey guards against an authority that stays
+// trusted after its removal, because another file of the set cannot be used.
+func TestRemovedAuthorityIsNotTrustedBesideUnusableKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ca, nextCA := newAuthority(t), newAuthority(t)
+		entry := roleRequest(pwsecurity.RoleEntry)
+		f := writeTLSFiles(t, t.TempDir(), ca, entry)
+		w, err := pwsecurity.NewCertWatcher(f, pwobserve.Discard())
+		if err != nil {
+			t.Fatal(err)
+		}
+		expiry := w.Expiry()
+		ctx, cancel := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		waitForPoll := func() {
+			time.Sleep(2 * f.PollInterval())
+			synctest.Wait()
+		}
+		oldPeer := newCertWatcher(t, writeTLSFiles(t, t.TempDir(), ca, entry))
+		next := writeTLSFiles(t, t.TempDir(), nextCA, entry)
+		newPeer := newCertWatcher(t, next)
+		authorities, err := os.ReadFile(next.CAFile)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for name, data := range map[string][]byte{
+			f.CAFile:  authorities,
+			f.KeyFile: []byte("unusable"),
+		} {
+			if err := os.WriteFile(name, data, 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		waitForPoll()
+		if handshake(w, oldPeer) == nil || !w.Expiry().Equal(expiry) {
+			t.Error("the removed authority is still trusted, or the certificate has changed")
+		}
+		if err := verifiesPeer(w, newPeer); err != nil {
+			t.Errorf("the new authority is not trusted: %v", err)
+		}
+		_ = writeTLSFiles(t, filepath.Dir(f.CAFile), nextCA, entry)
+		waitForPoll()
+		if err := handshake(w, newPeer); err != nil {
+			t.Errorf("a usable set after the unusable one did not take effect: %v", err)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// verifiesPeer returns an error if the server does not accept the certificate of the client.
+func verifiesPeer(server, client *pwsecurity.CertWatcher) error {
+	a, b := net.Pipe()
+	defer func() { _, _ = a.Close(), b.Close() }()
+	go func() {
+		cfg := client.PeerClientConfig(pwsecurity.RoleEntry)
+		cfg.VerifyConnection = nil // the certificate of the server has no trusted authority any more
+		c := tls.Client(b, cfg)
+		_, _ = c.Read(make([]byte, 1))
+	}()
+	return tls.Server(a, server.PeerServerConfig(pwsecurity.RoleEntry)).Handshake()
+}
+
 // handshake connects two processes through a pipe and returns the first error of
 // the client or else of the server.
 func handshake(server, client *pwsecurity.CertWatcher) error {
