Log when a request came in a stop, its estimate and its longest answer

Requests dropped on a connection that is being closed left no trace. Change: four fields on the lines of requests during a stop, the open connections by state and the dropped requests on the line of its end.

--- a/internal/cli/pwgatewaycommand/connections.go
+++ b/internal/cli/pwgatewaycommand/connections.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/apex/log"
 )
 
 // closePollInterval is how often a stopping process looks for connections that have become
@@ -21,6 +23,8 @@
 	// closing holds the connections that drain closes. A request that has arrived on one in
 	// the meantime must not be passed on.
 	closing map[net.Conn]bool
+	// dropped counts the requests that have arrived on such connections.
+	dropped int
 }
 
 // connKey is the context key of the connection of a request.
@@ -34,7 +38,7 @@
 	}
 	next, connContext := srv.Handler, srv.ConnContext
 	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && t.isClosing(c) {
+		if c, ok := r.Context().Value(connKey{}).(net.Conn); ok && t.dropIfClosing(c) {
 			panic(http.ErrAbortHandler)
 		}
 		next.ServeHTTP(w, r)
@@ -59,10 +63,29 @@
 	}
 }
 
-func (t *connTracker) isClosing(c net.Conn) bool {
+// dropIfClosing reports whether a connection on which a request has arrived is being closed,
+// and counts the request as dropped if it is.
+func (t *connTracker) dropIfClosing(c net.Conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.closing[c]
+	if !t.closing[c] {
+		return false
+	}
+	t.dropped++
+	return true
+}
+
+// addStateFields adds to log fields how many connections are open in each state, and how many
+// requests were dropped.
+func (t *connTracker) addStateFields(f log.Fields) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := make(map[http.ConnState]int)
+	for _, state := range t.states {
+		counts[state]++
+	}
+	f["unused_left"], f["active_left"], f["idle_left"] = counts[http.StateNew], counts[http.StateActive], counts[http.StateIdle]
+	f["requests_dropped"] = t.dropped
 }
 
 // drain closes connections as they become idle after a request, until none is left or ctx
--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -351,13 +351,15 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	left := conns.drain(ctx)
-	// What is left are connections that never carried a request, and broken streams.
-	_ = srv.Close()
-	p.obs.LogEvent("stop", log.Fields{
+	f := log.Fields{
 		"complete":         left == 0,
 		"connections_left": left,
-		"lines_dropped":    p.logWriter.DroppedLines(),
-	})
+	}
+	conns.addStateFields(f)
+	// What is left are connections that never carried a request, and broken streams.
+	_ = srv.Close()
+	f["lines_dropped"] = p.logWriter.DroppedLines()
+	p.obs.LogEvent("stop", f)
 }
 
 // handleReadiness responds to the load balancer: 200 if the process takes new connections,
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -84,6 +84,9 @@
 	waitTime    time.Duration
 	// blockedBy is what the request last waited for in the queue, or nil.
 	blockedBy error
+	// estimate is how long the request was last expected to take, which is only estimated
+	// during a shutdown.
+	estimate time.Duration
 }
 
 // ServeHTTP forwards one request of a caller to a backend server and relays the
@@ -517,6 +520,7 @@
 		f["verdict"] = pwverdict.VerdictOf(err).String()
 		f["error"] = err.Error()
 	}
+	x.addShutdownFields(f)
 	if err == nil && status < http.StatusInternalServerError {
 		x.g.obs.LogRoutineEvent(event, f)
 		return
--- a/internal/node/pwgateway/shutdown.go
+++ b/internal/node/pwgateway/shutdown.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwdrain"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
@@ -32,8 +34,9 @@
 	begin, markAsOver context.CancelFunc
 
 	mu sync.Mutex
-	// answerBy is the time by which each request must have its answer.
-	answerBy time.Time
+	// beganAt is when the shutdown began, answerBy the time by which each request must have
+	// its answer.
+	beganAt, answerBy time.Time
 }
 
 func newShutdown() *shutdown {
@@ -51,7 +54,7 @@
 func (g *Gateway) BeginShutdown(answerBy time.Time) {
 	s := g.shutdown
 	s.mu.Lock()
-	s.answerBy = answerBy
+	s.beganAt, s.answerBy = time.Now(), answerBy
 	s.mu.Unlock()
 	s.begin()
 	time.AfterFunc(time.Until(answerBy), s.markAsOver)
@@ -132,6 +135,7 @@
 		return nil
 	}
 	left, need := time.Until(answerBy), min(x.neededTime(), time.Until(x.deadline))
+	x.estimate = need
 	if need <= left {
 		return nil
 	}
@@ -139,6 +143,24 @@
 		left.Round(time.Millisecond), need.Round(time.Millisecond))
 }
 
+// addShutdownFields adds to the log fields of a request how long the shutdown has lasted when
+// it came and now, the last estimate of the time that it needed, and how long its answer may be.
+func (x *exchange) addShutdownFields(f log.Fields) {
+	s := x.g.shutdown
+	s.mu.Lock()
+	beganAt := s.beganAt
+	s.mu.Unlock()
+	if beganAt.IsZero() {
+		return
+	}
+	f["stopping_ms"] = time.Since(beganAt).Milliseconds()
+	f["arrived_stopping_ms"] = x.arrivedAt.Sub(beganAt).Milliseconds()
+	f["output_tokens"] = x.metadata.MaxOutputTokens
+	if x.estimate > 0 {
+		f["estimate_ms"] = x.estimate.Milliseconds()
+	}
+}
+
 // newDrainRefusal returns a refusal of a request that the stopping process has not sent.
 func newDrainRefusal(format string, args ...any) error {
 	return &refusal{
