Show that a planned stop cuts streams that it took late

Change: its callers in a planned stop also send streams of 1 to 280 events, most of them short, on connections that they keep until the process has ended, and the check excuses only what LOST excuses: sent no later than 3 s after SIGTERM and a server at work in the last sixth of the grace. A test stops one process while streams come late that are longer than the others of their route.

--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -17,7 +17,8 @@
 )
 
 const (
-	// streamEvents is the number of events in a complete stream.
+	// streamEvents is the number of events in a complete stream, unless its path ends with
+	// another number.
 	streamEvents = 8
 	// eventPause is the time between two events of a stream.
 	eventPause = 15 * time.Millisecond
@@ -31,6 +32,19 @@
 	mu      sync.Mutex
 	counts  map[string]int
 	origins map[string]origin
+	// running counts the runs of a request that have not ended, endedAt holds when its last
+	// run ended.
+	running map[string]int
+	endedAt map[string]time.Time
+}
+
+func newRunCounter() *runCounter {
+	return &runCounter{
+		counts:  make(map[string]int),
+		origins: make(map[string]origin),
+		running: make(map[string]int),
+		endedAt: make(map[string]time.Time),
+	}
 }
 
 // origin is the index of the entry that a caller sent a request to, and when.
@@ -55,10 +69,26 @@
 	return o.entry, o.sentAt
 }
 
-func (c *runCounter) add(id string) {
+// begin counts a run of a request and returns a function that records its end.
+func (c *runCounter) begin(id string) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[id]++
+	c.running[id]++
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.running[id]--
+		c.endedAt[id] = time.Now()
+	}
+}
+
+// workedAt reports whether a backend server was still at work on a request at a time in the
+// past.
+func (c *runCounter) workedAt(id string, t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.running[id] > 0 || c.endedAt[id].After(t)
 }
 
 func (c *runCounter) count(id string) int {
@@ -305,7 +335,7 @@
 	if b.countAndReject(w, id) {
 		return
 	}
-	b.runs.add(id)
+	defer b.runs.begin(id)()
 	b.addStatements(h)
 	defer b.recordLeft(h, id)
 	h.Set("X-Response-Seal", "seal."+id)
@@ -353,7 +383,15 @@
 	return n
 }
 
-// serveStream sends the events after Last-Event-Id, up to streamEvents. Some streams have
+// lengthOf returns the number of events of the stream that answers a request with this path.
+func lengthOf(path string) int {
+	if n, err := strconv.Atoi(path[strings.LastIndexByte(path, '/')+1:]); err == nil {
+		return n
+	}
+	return streamEvents
+}
+
+// serveStream sends the events after Last-Event-Id, up to the last one. Some streams have
 // no chunks and end with their connection. The server crashes instead of the first event
 // if the prompt has the crashing part.
 func (b *backend) serveStream(w http.ResponseWriter, r *http.Request) {
@@ -368,7 +406,7 @@
 		return
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	for i := last + 1; i <= streamEvents; i++ {
+	for i := last + 1; i <= lengthOf(r.URL.Path); i++ {
 		time.Sleep(eventPause)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, r.Header.Get("X-Attempt-Id")); err != nil {
 			return
--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -135,8 +135,8 @@
 	takenPorts   map[int]bool
 	// version is the version of the newest configuration.
 	version atomic.Int64
-	// stopping is the entry of a planned stop, or nil.
-	stopping atomic.Pointer[entry]
+	// stopping is the planned stop of an entry, or nil.
+	stopping atomic.Pointer[plannedStop]
 
 	mu             sync.Mutex
 	report         Report
@@ -153,24 +153,26 @@
 	exited           chan struct{}
 }
 
-// Run starts the processes, injects the faults of one seed while callers send
-// requests, and returns what it observed.
-func Run(ctx context.Context, opts Options) (Report, error) {
-	s := &soak{
-		opts:  opts,
-		rng:   rand.New(rand.NewPCG(opts.Seed, 1)),
-		store: pwfakeplatform.NewStore(),
-		runs: &runCounter{
-			counts:  make(map[string]int),
-			origins: make(map[string]origin),
-		},
+// newSoak returns a run without processes.
+func newSoak(opts Options) *soak {
+	if opts.Entries <= 0 {
+		opts.Entries = defaultEntries
+	}
+	return &soak{
+		opts:       opts,
+		rng:        rand.New(rand.NewPCG(opts.Seed, 1)),
+		store:      pwfakeplatform.NewStore(),
+		runs:       newRunCounter(),
 		servers:    make(map[string]*backend),
 		common:     &conditions{},
 		takenPorts: make(map[int]bool),
 	}
-	if s.opts.Entries <= 0 {
-		s.opts.Entries = defaultEntries
-	}
+}
+
+// Run starts the processes, injects the faults of one seed while callers send
+// requests, and returns what it observed.
+func Run(ctx context.Context, opts Options) (Report, error) {
+	s := newSoak(opts)
 	defer s.stop()
 	if err := s.start(ctx); err != nil {
 		return s.report, err
@@ -774,7 +776,9 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	s.checkAnswered(e, route, id, status, sentAt, err)
+	if p := s.stopping.Load(); p != nil && p.entry == e {
+		p.checkAnswered(route, id, status, sentAt, time.Since(sentAt), err)
+	}
 	// Requests with the crashing part are not missed, so their outcome does not count.
 	s.checkResponse(route, id, body, status, got, err, len(parts) == 2)
 	return err == nil
--- a/internal/fake/pwsoak/soak_test.go
+++ b/internal/fake/pwsoak/soak_test.go
@@ -24,6 +24,16 @@
 	7002: "one crash of a server under two equal lookups counted twice, and the lookup was refused from then on",
 }
 
+// buildBinary builds the program under test and returns its path.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "pomeloweir")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/pomeloweir").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
 // Guards against requests that run twice, are lost, or get the data of another
 // while processes crash, connections break and the store fails.
 func TestSoak(t *testing.T) {
@@ -31,10 +41,7 @@
 	if dir == "" {
 		dir = t.TempDir()
 	}
-	binary := filepath.Join(t.TempDir(), "pomeloweir")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/pomeloweir").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	binary := buildBinary(t)
 	runSeed := func(seed uint64) {
 		logs := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
 		if err := os.MkdirAll(logs, 0o755); err != nil {
