Refuse streams that come late in a planned stop

Cause: a stopping gateway took a stream if the usual stream of its route fits into what is left of the grace: nine tenths of the recent durations. The longest answers last many times as long, and a stream that has begun can get no failure, so at the end of the grace it was cut. Evidence: of the ten streams in the record seven had come 3.3 to 5.8 s after SIGTERM. Change: a stream whose last byte arrives after the process has stopped listening (2.5 s at most) is refused at once, with 503 and a short Retry-After, unless its own deadline comes before the end of the grace. Calls may still be taken, since they get a whole 504 at the end. Why it works: no late stream depends on an estimate any more; early ones are cut at the end only, in the last sixth of the grace. Result: three cases of TestStopAnswersWhatWasPassedOn failed before.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -342,10 +342,11 @@
 func (p *process) shutdown(callers net.Listener, srv *http.Server, conns *connTracker) {
 	grace := p.deployment.Bounds.StopGracePeriod
 	end := time.Now().Add(grace - shutdownMargin)
+	listenUntil := time.Now().Add(min(notReadyPeriod, time.Duration(notReadyShare*float64(grace))))
 	close(p.stopping)
-	p.gateway.BeginShutdown(end.Add(-answerMargin))
+	p.gateway.BeginShutdown(listenUntil, end.Add(-answerMargin))
 	p.obs.LogEvent("stopping", nil)
-	time.Sleep(min(notReadyPeriod, time.Duration(notReadyShare*float64(grace))))
+	time.Sleep(time.Until(listenUntil))
 	// Closing only fails if the listener is closed already.
 	_ = callers.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -333,6 +333,10 @@
 		"unsafe, late, longer than expected":     {call: stopCall{path: "/book/5000", opened: late, sentAt: 6 * time.Second, deadline: long}, known: "/book/60", status: 504, passedOn: true},
 		"unsafe, at the end":                     {call: stopCall{path: "/book/50", opened: late, sentAt: 7350 * time.Millisecond, deadline: short}, status: 503},
 		"stream, late, known to be long":         {call: stopCall{path: "/note/3000", opened: late, sentAt: 5 * time.Second, deadline: long}, known: "/note/3000", status: 503},
+		"stream, late, known to be short":        {call: stopCall{path: "/note/400", opened: late, sentAt: 4 * time.Second, deadline: long}, known: "/note/300", status: 503},
+		"stream, late, longer than expected":     {call: stopCall{path: "/note/6000", opened: late, sentAt: 3 * time.Second, deadline: long}, known: "/note/300", status: 503},
+		"stream, late, deadline in the grace":    {call: stopCall{path: "/note/400", opened: late, sentAt: 4 * time.Second, deadline: 3 * time.Second}, status: 200, passedOn: true},
+		"stream, early, body ends late":          {call: stopCall{path: "/note/400", opened: before, sentAt: time.Second, bodyTime: 3 * time.Second, deadline: long}, known: "/note/300", status: 503},
 		"stream, early, known to be short":       {call: stopCall{path: "/note/3000", opened: before, sentAt: time.Second, deadline: long}, known: "/note/3000", status: 200, passedOn: true},
 		"new connection while it is not ready":   {call: stopCall{path: "/book/50", opened: time.Second, sentAt: time.Second, deadline: short}, status: 200, passedOn: true},
 		"first used late":                        {call: stopCall{path: "/book/50", opened: 2 * time.Second, sentAt: 6500 * time.Millisecond, deadline: short}, status: 200, passedOn: true},
@@ -431,10 +435,10 @@
 				f.t.Errorf("%s %s was passed on and got no answer: %v", path, id, res.err)
 			}
 			return
-		case !res.complete && !strings.HasPrefix(path, "/note/"), errors.Is(res.err, net.ErrClosed):
+		case !res.complete, errors.Is(res.err, net.ErrClosed):
 			f.t.Errorf("%s %s got %+v", path, id, res)
 			return
-		case res.closes, !res.complete:
+		case res.closes:
 			return
 		}
 		time.Sleep(pathMillis(path) / 2)
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -47,8 +47,10 @@
 	r         *http.Request
 	conn      *callerConn
 	arrivedAt time.Time
-	deadline  time.Time
-	metadata  RequestMetadata
+	// receivedAt is when the body had arrived.
+	receivedAt time.Time
+	deadline   time.Time
+	metadata   RequestMetadata
 	// metadataErr is why the headers of the request cannot be parsed, or nil.
 	metadataErr     error
 	route           *pwcatalog.Route
@@ -121,6 +123,7 @@
 		x.refuse(statusOf(err), err)
 		return
 	}
+	x.receivedAt = time.Now()
 	// A version with revocations may have come into force while the body was read.
 	if err := x.resolve(g.catalog.Load()); err != nil {
 		x.refuse(statusOf(err), err)
--- a/internal/node/pwgateway/shutdown.go
+++ b/internal/node/pwgateway/shutdown.go
@@ -35,8 +35,9 @@
 
 	mu sync.Mutex
 	// beganAt is when the shutdown began, answerBy the time by which each request must have
-	// its answer.
-	beganAt, answerBy time.Time
+	// its answer. Streams that have arrived after streamsUntil are only taken if they end by
+	// answerBy in any case.
+	beganAt, streamsUntil, answerBy time.Time
 }
 
 func newShutdown() *shutdown {
@@ -50,11 +51,12 @@
 
 // BeginShutdown makes further responses ask callers to close their connections, and refuses
 // requests that can't finish until answerBy. Requests that still run then are ended: they
-// get a failure, or, if their response has begun, an aborted connection.
-func (g *Gateway) BeginShutdown(answerBy time.Time) {
+// get a failure, or, if their response has begun, an aborted connection. To streams, which can
+// get no failure once they have begun, that must not happen if they arrive after streamsUntil.
+func (g *Gateway) BeginShutdown(streamsUntil, answerBy time.Time) {
 	s := g.shutdown
 	s.mu.Lock()
-	s.beganAt, s.answerBy = time.Now(), answerBy
+	s.beganAt, s.streamsUntil, s.answerBy = time.Now(), streamsUntil, answerBy
 	s.mu.Unlock()
 	s.begin()
 	time.AfterFunc(time.Until(answerBy), s.markAsOver)
@@ -134,7 +136,10 @@
 	if !ok {
 		return nil
 	}
-	left, need := time.Until(answerBy), min(x.neededTime(), time.Until(x.deadline))
+	left, need := time.Until(answerBy), time.Until(x.deadline)
+	if !x.isLateStream() {
+		need = min(need, x.neededTime())
+	}
 	x.estimate = need
 	if need <= left {
 		return nil
@@ -143,6 +148,14 @@
 		left.Round(time.Millisecond), need.Round(time.Millisecond))
 }
 
+// isLateStream reports whether the request is a stream that must not be cut by the shutdown.
+func (x *exchange) isLateStream() bool {
+	s := x.g.shutdown
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return x.route.Kind == pwcatalog.Streaming && !s.beganAt.IsZero() && x.receivedAt.After(s.streamsUntil)
+}
+
 // addShutdownFields adds to the log fields of a request how long the shutdown has lasted when
 // it came and now, the last estimate of the time that it needed, and how long its answer may be.
 func (x *exchange) addShutdownFields(f log.Fields) {
--- a/internal/node/pwgateway/shutdown_test.go
+++ b/internal/node/pwgateway/shutdown_test.go
@@ -27,7 +27,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := New(Config{}, pwobserve.Discard())
-				begin := func() { g.BeginShutdown(time.Now().Add(tc.grace)) }
+				begin := func() { g.BeginShutdown(time.Now(), time.Now().Add(tc.grace)) }
 				if tc.begin == 0 {
 					begin()
 				} else {
