Stop within the grace that the settings file states now

After a change of grace-s a stopping gateway would go on for the grace of its start: with a shorter one the forced kill cuts what still runs, with a longer one requests are refused and ended seconds too soon (LOST). Cause: shutdown took the grace from the settings of the start. A reload gave the bounds only to the request path, and a file that changes without a signal is noticed up to 2 s late. Evidence: TestStopUsesNewestGrace ended at 7.52 s of a grace of 4 s, and gave 504 at 7.5 s of a grace of 12 s. Change: the process keeps the bounds that it last loaded, and loads the settings file once more when the stop begins. A file that can't be loaded leaves the bounds in force. Result: the test passes with 4, 8 and 12 s and with an invalid file.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -117,6 +117,7 @@
 	}()
 	p := &process{
 		deployment:   d,
+		bounds:       d.Bounds,
 		settingsPath: path,
 		obs:          pwobserve.New(out, pwrequest.InstanceID(d.Instance), pwrequest.DataCentre(d.DataCentre)),
 		logWriter:    out,
@@ -143,6 +144,10 @@
 	configured       chan struct{}
 	configuredOnce   sync.Once
 	stopping         chan struct{}
+
+	mu sync.Mutex
+	// bounds are those of the settings file when it was last loaded.
+	bounds pwdeployment.Bounds
 }
 
 // run starts the background goroutines and serves callers until ctx ends.
@@ -338,12 +343,15 @@
 
 // shutdown reports not ready for a while, then stops listening and serves the open
 // connections until all are closed. Shortly before the forced kill, it ends the requests
-// that still run, so that each one gets an answer.
+// that still run, so that each one gets an answer. The settings file may have changed without
+// a signal, so it is loaded once more.
 func (p *process) shutdown(callers net.Listener, srv *http.Server, conns *connTracker) {
-	grace := p.deployment.Bounds.StopGracePeriod
-	end := time.Now().Add(grace - shutdownMargin)
-	listenUntil := time.Now().Add(min(notReadyPeriod, time.Duration(notReadyShare*float64(grace))))
+	beganAt := time.Now()
 	close(p.stopping)
+	p.reload()
+	grace := p.gracePeriod()
+	end := beganAt.Add(grace - shutdownMargin)
+	listenUntil := beganAt.Add(min(notReadyPeriod, time.Duration(notReadyShare*float64(grace))))
 	p.gateway.BeginShutdown(listenUntil, end.Add(-answerMargin))
 	p.obs.LogEvent("stopping", nil)
 	time.Sleep(time.Until(listenUntil))
@@ -424,12 +432,27 @@
 			}
 		}
 		version = fileVersion(p.settingsPath)
-		d, err := platform.LoadSettings(p.settingsPath)
-		if err != nil {
-			p.obs.Warn("settings file cannot be loaded; the current settings stay in force", err)
-			continue
-		}
-		p.gateway.SetBounds(d.Bounds)
-		p.obs.LogEvent("reload", nil)
+		p.reload()
 	}
 }
+
+// reload applies the bounds of the settings file.
+func (p *process) reload() {
+	d, err := platform.LoadSettings(p.settingsPath)
+	if err != nil {
+		p.obs.Warn("settings file cannot be loaded; the current settings stay in force", err)
+		return
+	}
+	p.mu.Lock()
+	p.bounds = d.Bounds
+	p.mu.Unlock()
+	p.gateway.SetBounds(d.Bounds)
+	p.obs.LogEvent("reload", nil)
+}
+
+// gracePeriod returns the time from the request to stop to the forced kill.
+func (p *process) gracePeriod() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bounds.StopGracePeriod
+}
