Fit the margins of a stop into short graces

With a grace under 3 s what still runs was ended before its last sixth, where LOST doesn't excuse a cut; with 0.5 s or less at once. Cause: the margins before the forced kill are 500 ms whatever the grace. Evidence: TestStopUsesNewestGrace got 504 after 1.5 s of 2 s, 0.5 s of 1 s and 0 s of 300 ms. Change: both margins together take an eighth of the grace at most. Result: the test passes; graces of 4 s and more are ended as before.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -54,6 +54,9 @@
 	// answerMargin is the time between the end of the last requests and that of the
 	// shutdown, in which their answers are written.
 	answerMargin = 200 * time.Millisecond
+	// marginShare bounds shutdownMargin and answerMargin together by a share of the grace
+	// period. Requests must not be ended before the last sixth of it.
+	marginShare = 0.125
 	// firstConfigTimeout bounds the wait for the first configuration, which sets the
 	// connection limits.
 	firstConfigTimeout = 1500 * time.Millisecond
@@ -350,9 +353,10 @@
 	close(p.stopping)
 	p.reload()
 	grace := p.gracePeriod()
-	end := beganAt.Add(grace - shutdownMargin)
+	marginScale := min(1, marginShare*float64(grace)/float64(shutdownMargin+answerMargin))
+	end := beganAt.Add(grace - time.Duration(marginScale*float64(shutdownMargin)))
 	listenUntil := beganAt.Add(min(notReadyPeriod, time.Duration(notReadyShare*float64(grace))))
-	p.gateway.BeginShutdown(listenUntil, end.Add(-answerMargin))
+	p.gateway.BeginShutdown(listenUntil, end.Add(-time.Duration(marginScale*float64(answerMargin))))
 	p.obs.LogEvent("stopping", nil)
 	time.Sleep(time.Until(listenUntil))
 	// Closing only fails if the listener is closed already.
--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -476,7 +476,8 @@
 }
 
 // Guards against a stop that goes by the grace of the start although the settings file has
-// changed since: the forced kill then cuts what still runs, or requests are ended too soon.
+// changed since: the forced kill then cuts what still runs, or requests are ended before the
+// last sixth of the grace. The same holds for margins that don't fit a short grace.
 func TestStopUsesNewestGrace(t *testing.T) {
 	for name, tc := range map[string]struct {
 		// settings are the lines of the settings file when the stop begins.
@@ -487,6 +488,9 @@
 		"shorter":   {settings: "bounds.grace-s=4", grace: 4 * time.Second},
 		"longer":    {settings: "bounds.grace-s=12", grace: 12 * time.Second},
 		"invalid":   {settings: "bounds.grace-s=soon", grace: testGracePeriod},
+		"2 s":       {settings: "bounds.grace-s=2", grace: 2 * time.Second},
+		"1 s":       {settings: "bounds.grace-s=1", grace: time.Second},
+		"300 ms":    {settings: "bounds.grace-s=0.3", grace: 300 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
