Leave a silent server only if a retry is assured

What callers saw: an answer ended because its server was silent for a while, though no other server could take the request: streams that had begun were cut, calls got 502 long before their deadline. Cause: the watchdog ended the send first. Only then did the retry look for a server, for the time left in a stop and for a retry of the budget, and failed for want of any of them. Streams of one silent server all counted on the same last retries. Change: the watchdog takes the retry from the budget before it ends the send, and only if the request would be placed now on a server that isn't suspect. Otherwise it looks again every 50 ms. The silence is reported as a failure at once, as before, so that new requests avoid the server.

--- a/internal/core/pwfleet/suspect.go
+++ b/internal/core/pwfleet/suspect.go
@@ -101,3 +101,13 @@
 	}
 	return true
 }
+
+// CanRetry reports whether a request would be planned on a server that is not suspect.
+func (f *Fleet) CanRetry(now time.Time, r Request) bool {
+	p, err := f.Plan(now, r)
+	if err != nil {
+		return false
+	}
+	s := f.servers[p.Server.ID]
+	return s != nil && !now.Before(s.suspectUntil)
+}
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -180,6 +180,15 @@
 	return d.retryBudgets.forService(now, service).Take(now)
 }
 
+// takeRetryIfPlaceable takes one retry from the budget of a service if the request would be
+// placed now on a server that is not suspect. It reports whether it has.
+func (d *dispatcher) takeRetryIfPlaceable(service string, r pwfleet.Request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	return d.fleet.CanRetry(now, r) && d.retryBudgets.forService(now, service).Take(now) == nil
+}
+
 // acquire selects the server of a request and assigns its load there. Requests wait
 // in the queue while the servers are busy; a long prompt also waits behind those
 // that are queued already.
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -71,6 +71,8 @@
 	runs         int
 	rejections   int
 	triedServers map[string]bool
+	// retryTaken is set when the next send has been taken from the retry budget.
+	retryTaken bool
 	// weightRejections counts the rejections for other weights than the caller expects.
 	weightRejections int
 	// headWritten is set when the head of a streamed response has been written.
@@ -395,11 +397,12 @@
 		return x.rejections < x.g.cfg.Policy.MaxRejections, err
 	}
 	defer release()
-	if x.sends > 0 {
+	if x.sends > 0 && !x.retryTaken {
 		if err := x.g.dispatcher.takeRetry(x.service); err != nil {
 			return false, err
 		}
 	}
+	x.retryTaken = false
 	s := &send{
 		x:            x,
 		plan:         plan,
@@ -408,7 +411,9 @@
 		placedAt:     placedAt,
 		eventsBefore: x.eventCount,
 	}
-	return s.execute(ctx)
+	retryable, err = s.execute(ctx)
+	x.retryTaken = s.retryTaken
+	return retryable, err
 }
 
 // finishWithError ends a request that failed. A caller that has left, or has the head of a
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -52,6 +52,9 @@
 	eventsBefore int
 	// timedOut is set when the watchdog ended the send.
 	timedOut atomic.Bool
+	// retryTaken is set when the send was given up for a retry that has been taken from the
+	// budget. It is read after the watchdog has stopped.
+	retryTaken bool
 }
 
 // execute sends the request and delivers the response. With an error it returns
@@ -294,14 +297,11 @@
 		// The server is not to blame.
 		return false, pwverdict.Wrap(errStopping, pwverdict.MayHaveRun, pwverdict.CauseDraining, "waiting for %s", s.plan.Server.ID)
 	}
-	if s.timedOut.Load() {
-		failure = pwfleet.FailureResponse
-	}
-	s.reportFailure(failure, err)
 	x.triedServers[s.plan.Server.ID] = true
 	if s.timedOut.Load() {
 		err = pwverdict.Wrap(errServerUnresponsive, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "%s", s.plan.Server.ID)
 	} else {
+		s.reportFailure(failure, err)
 		go x.g.probeCrash(x, s.plan.Server, x.eventCount-s.eventsBefore)
 	}
 	return x.route.Repeatable() && x.runs < x.route.Attempts, err
--- a/internal/node/pwgateway/shutdown.go
+++ b/internal/node/pwgateway/shutdown.go
@@ -132,14 +132,10 @@
 
 // checkShutdown returns a refusal if the process stops before the request can finish.
 func (x *exchange) checkShutdown() error {
-	answerBy, ok := x.g.shutdown.deadline()
+	left, need, ok := x.shutdownTimes()
 	if !ok {
 		return nil
 	}
-	left, need := time.Until(answerBy), time.Until(x.deadline)
-	if !x.isLateStream() {
-		need = min(need, x.neededTime())
-	}
 	x.estimate = need
 	if need <= left {
 		return nil
@@ -148,6 +144,20 @@
 		left.Round(time.Millisecond), need.Round(time.Millisecond))
 }
 
+// shutdownTimes returns how long the process still serves and how long the request may take.
+// ok is false while the shutdown has not begun.
+func (x *exchange) shutdownTimes() (left, need time.Duration, ok bool) {
+	answerBy, ok := x.g.shutdown.deadline()
+	if !ok {
+		return 0, 0, false
+	}
+	need = time.Until(x.deadline)
+	if !x.isLateStream() {
+		need = min(need, x.neededTime())
+	}
+	return time.Until(answerBy), need, true
+}
+
 // isLateStream reports whether the request is a stream that must not be cut by the shutdown.
 func (x *exchange) isLateStream() bool {
 	s := x.g.shutdown
--- a/internal/node/pwgateway/watchdog.go
+++ b/internal/node/pwgateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -10,27 +11,37 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
 )
 
-// busyWindow is the age up to which activity on other connections shows that a
-// server is still working.
-const busyWindow = 500 * time.Millisecond
+const (
+	// busyWindow is the age up to which activity on other connections shows that a
+	// server is still working.
+	busyWindow = 500 * time.Millisecond
+	// retryCheckInterval is how often it is checked whether a request of a silent server
+	// can be retried.
+	retryCheckInterval = 50 * time.Millisecond
+)
 
 // errServerUnresponsive is the reason for a send that the watchdog ended.
 var errServerUnresponsive = errors.New("the server is silent")
 
-// watchdog ends a send whose server has sent nothing for too long, if another server
-// may still serve the request. A server that responds to other requests gets more time.
+// watchdog ends a send whose server has sent nothing for too long, as soon as another server
+// can serve the request. A server that responds to other requests gets more time.
 type watchdog struct {
 	send  *send
 	conn  *pwupstream.Conn
 	timer *time.Timer
 	// armed is set when the request may be retried on another server.
 	armed bool
+	// retry is the request without the servers that it was sent to.
+	retry pwfleet.Request
 
 	mu      sync.Mutex
 	stopped bool
 	// lastActivity is when the server last sent an event on this connection, or
 	// else when the send began.
 	lastActivity time.Time
+	// begun is set when the caller has events of the stream, reported when the silence
+	// was reported as a failure.
+	begun, reported bool
 }
 
 // startWatchdog starts the watchdog of a send.
@@ -39,8 +50,12 @@
 		send:         s,
 		conn:         s.conn,
 		armed:        s.x.route.Repeatable() && s.x.runs+1 < s.x.route.Attempts,
+		retry:        s.x.fleetRequest(),
 		lastActivity: time.Now(),
+		begun:        s.x.headWritten,
 	}
+	w.retry.Exclude = maps.Clone(s.x.triedServers)
+	w.retry.Exclude[s.plan.Server.ID] = true
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(s.inactivityTimeout(false), w.checkInactivity)
@@ -67,6 +82,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastActivity = time.Now()
+	w.begun = true
 }
 
 // stop stops the watchdog. It must be called before the connection carries another
@@ -78,8 +94,8 @@
 	w.timer.Stop()
 }
 
-// checkInactivity ends the send if the server has sent nothing for too long, and
-// otherwise restarts the timer.
+// checkInactivity ends the send if the server has sent nothing for too long and a retry is
+// assured, and otherwise restarts the timer.
 func (w *watchdog) checkInactivity() {
 	s := w.send
 	if !w.armed {
@@ -96,6 +112,31 @@
 		w.timer.Reset(remaining)
 		return
 	}
+	if !w.reported {
+		w.reported = true
+		s.reportFailure(pwfleet.FailureResponse, errServerUnresponsive)
+	}
+	if !w.takeRetry() {
+		w.timer.Reset(retryCheckInterval)
+		return
+	}
 	s.timedOut.Store(true)
 	w.conn.Abort()
 }
+
+// takeRetry takes a retry of the budget if the request can be sent to another server now.
+// The caller holds mu.
+func (w *watchdog) takeRetry() bool {
+	x := w.send.x
+	if x.remaining() < minSendTime || x.g.crashes.checkQuarantine(x) != nil {
+		return false
+	}
+	if left, need, ok := x.shutdownTimes(); ok && !w.begun && need > left {
+		return false
+	}
+	r := w.retry
+	r.Urgent = !w.begun && x.route.Kind == pwcatalog.Streaming
+	r.Late = time.Since(x.arrivedAt) > x.route.Target
+	w.send.retryTaken = x.g.dispatcher.takeRetryIfPlaceable(x.service, r)
+	return w.send.retryTaken
+}
