Keep the counts of the retry budgets over a reload

What callers saw: nothing yet. After a reload that changes any bound all retries of the window could be taken once more (BUDGET). Cause: SetBounds made new budgets, without the requests and retries of the window, the counts of the peers and the largest number of them. Change: budgets are reconfigured; their buckets move to those of the new window by time. All else stays. Result: the test passes with another bound, a longer and a shorter window, and more slack.

--- a/internal/core/pwretry/retry.go
+++ b/internal/core/pwretry/retry.go
@@ -164,6 +164,27 @@
 	}
 }
 
+// Reconfigure replaces the configuration. The requests and retries of the window still count.
+func (b *Budget) Reconfigure(now time.Time, cfg BudgetConfig) {
+	b.advance(now)
+	next := NewBudget(cfg)
+	next.peerCounts, next.floorShare = b.peerCounts, b.floorShare
+	for n := max(0, b.newestBucket-budgetBuckets+1); n <= b.newestBucket; n++ {
+		old := b.buckets[n%budgetBuckets]
+		endsAt := time.Unix(0, (n+1)*int64(b.bucketWidth)-1)
+		if endsAt.After(now) {
+			endsAt = now
+		}
+		cur := next.advance(endsAt)
+		cur.requests += old.requests
+		cur.retries += old.retries
+		next.requests += old.requests
+		next.retries += old.retries
+	}
+	next.advance(now)
+	*b = *next
+}
+
 // RecordRequest counts one request. It must not be called for retries.
 func (b *Budget) RecordRequest(now time.Time) {
 	b.advance(now).requests++
--- a/internal/node/pwgateway/budgets.go
+++ b/internal/node/pwgateway/budgets.go
@@ -53,11 +53,7 @@
 func (b *retryBudgets) forService(now time.Time, service string) *pwretry.Budget {
 	budget := b.services[service]
 	if budget == nil {
-		budget = pwretry.NewBudget(pwretry.BudgetConfig{
-			Ratio:  b.bounds.RetryRatio * usableBudgetShare,
-			Floor:  b.bounds.RetrySlack * usableBudgetShare / max(1, b.bounds.RetryWindow.Seconds()),
-			Window: b.bounds.RetryWindow,
-		})
+		budget = pwretry.NewBudget(b.config())
 		b.services[service] = budget
 	}
 	hash := xxhash.Sum64String(service)
@@ -79,6 +75,23 @@
 	return budget
 }
 
+// config returns the configuration of each budget.
+func (b *retryBudgets) config() pwretry.BudgetConfig {
+	return pwretry.BudgetConfig{
+		Ratio:  b.bounds.RetryRatio * usableBudgetShare,
+		Floor:  b.bounds.RetrySlack * usableBudgetShare / max(1, b.bounds.RetryWindow.Seconds()),
+		Window: b.bounds.RetryWindow,
+	}
+}
+
+// setBounds replaces the bounds. What was counted before still counts.
+func (b *retryBudgets) setBounds(now time.Time, bounds pwdeployment.Bounds) {
+	b.bounds = bounds
+	for _, budget := range b.services {
+		budget.Reconfigure(now, b.config())
+	}
+}
+
 // setProcessCount sets the number of listed processes, this one included.
 func (b *retryBudgets) setProcessCount(n int) { b.listedProcesses = n }
 
--- a/internal/node/pwgateway/budgets_test.go
+++ b/internal/node/pwgateway/budgets_test.go
@@ -4,9 +4,14 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 )
 
 // Simulates an outage in which some or all processes retry as often as the budget
@@ -102,3 +107,57 @@
 		t.Errorf("%d retries left after 3 peers became inactive, %d before; want at most a quarter of that and 1", left, leftWithPeers)
 	}
 }
+
+// Guards against a reload of any bound that forgets the retries of the window, so that more of
+// them are taken than the budget allows (BUDGET).
+func TestRetryBudgetSurvivesReload(t *testing.T) {
+	before := pwdeployment.Bounds{
+		RetryRatio:  0.2,
+		RetryWindow: 10 * time.Second,
+		RetrySlack:  100,
+	}
+	for name, change := range map[string]func(b *pwdeployment.Bounds){
+		"another bound":  func(b *pwdeployment.Bounds) { b.StopGracePeriod = time.Second },
+		"longer window":  func(b *pwdeployment.Bounds) { b.RetryWindow = 12 * time.Second },
+		"shorter window": func(b *pwdeployment.Bounds) { b.RetryWindow = 8 * time.Second },
+		"more slack":     func(b *pwdeployment.Bounds) { b.RetrySlack = 130 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := New(Config{
+					Deployment: pwdeployment.Deployment{
+						Bounds: before,
+					},
+				}, pwobserve.Discard())
+				d := g.dispatcher
+				own := 0
+				take := func() {
+					for d.takeRetry("model") == nil {
+						own++
+					}
+				}
+				peer := []pwpeering.BudgetUsage{{
+					Service: xxhash.Sum64String("model"),
+					Retries: 20,
+				}}
+				d.retryBudgets.mergePeer(time.Now(), "front-2", peer)
+				take()
+				time.Sleep(time.Second)
+				after := before
+				change(&after)
+				g.SetBounds(after)
+				take()
+				if limit := int(after.RetrySlack*usableBudgetShare) - 20; own > limit {
+					t.Errorf("%d retries beside 20 of a peer, want at most %d", own, limit)
+				}
+				time.Sleep(after.RetryWindow)
+				d.retryBudgets.mergePeer(time.Now(), "front-2", nil)
+				own = 0
+				take()
+				if limit := int(after.RetrySlack * usableBudgetShare); own != limit {
+					t.Errorf("%d retries after the window, want %d", own, limit)
+				}
+			})
+		})
+	}
+}
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -123,9 +123,7 @@
 	defer d.mu.Unlock()
 	if b != d.deployment.Bounds {
 		d.deployment.Bounds = b
-		processes := d.retryBudgets.listedProcesses
-		d.retryBudgets = newRetryBudgets(b)
-		d.retryBudgets.setProcessCount(processes)
+		d.retryBudgets.setBounds(time.Now(), b)
 		d.fleet.SetColdBounds(b.ColdRateFactor, b.ColdRateSlack)
 	}
 }
