Hold engine memory by the bounds of the newest settings

What callers saw: nothing yet. After a reload that shortens the time within which memory must be free, memory of a process that has died was held for the old time (LEAK). Cause: reservations and crash probes went by the settings of the start. Evidence: TestReservationHoldFollowsReload found a hold of 3.7 s with a bound of 2 s. Change: both take the bounds that the last reload has set. Result: the test passes.

--- a/internal/node/pwgateway/crashes.go
+++ b/internal/node/pwgateway/crashes.go
@@ -340,7 +340,7 @@
 // probeCrash connects to a server after a broken response, of which this server had sent
 // the given number of events. It records a crash if the server no longer listens.
 func (g *Gateway) probeCrash(x *exchange, server pwcatalog.BackendServer, events int) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*crashProbeDelay+g.cfg.Deployment.Bounds.StallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*crashProbeDelay+g.dispatcher.bounds().StallTimeout)
 	defer cancel()
 	select {
 	case <-ctx.Done():
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// bounds returns the bounds of the newest settings.
+func (d *dispatcher) bounds() pwdeployment.Bounds {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.deployment.Bounds
+}
+
 func (d *dispatcher) setEvacuated(dataCentre string, outOfService bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -474,7 +474,7 @@
 // reservationHold returns how long a reservation lasts without renewal. It is short,
 // because memory must be free soon after this process dies.
 func (g *Gateway) reservationHold() time.Duration {
-	b := g.cfg.Deployment.Bounds
+	b := g.dispatcher.bounds()
 	return min(b.MaxReservationTime, max(b.ReleaseTimeout-holdMargin, 2*holdMargin))
 }
 
