Let streams that have begun wait for a server in a stop

A stopping gateway cut a stream that had lost its server and waited for the next one, although there was time left to finish it. Cause: the wait ends when less time is left than requests of the route need, so that what waits can be refused. A stream that has begun can't be refused; it was cut. Evidence: TestStopLetsResumedStreamWait cut the stream at once, with 4 s left, where the next server was full for a moment. Change: only requests without a response end their wait early. Result: the test passes.

--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -351,8 +351,12 @@
 		}
 		p.capacityWaitUntil = from.Add(time.Duration(x.g.cfg.Policy.WaitShare * float64(abandonTime)))
 	}
-	ctx, cancel := x.g.shutdown.endBefore(ctx, x.neededTime)
-	defer cancel()
+	if !x.headWritten {
+		// A stream that has begun can't be refused any more.
+		var cancel context.CancelFunc
+		ctx, cancel = x.g.shutdown.endBefore(ctx, x.neededTime)
+		defer cancel()
+	}
 	plan, assignment, err := x.g.dispatcher.acquire(ctx, p)
 	if errors.Is(err, errStopping) {
 		err = newDrainRefusal("the process stops before the request, which waits for an engine, can finish")
--- a/internal/node/pwgateway/resumed_stream_test.go
+++ b/internal/node/pwgateway/resumed_stream_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 )
 
 // After a stream has begun, only its events may reach the caller, whatever the server that it
@@ -103,3 +104,26 @@
 		return backends["model-2"]
 	}
 }
+
+// Guards against a stopping gateway that cuts a stream which waits for the server that resumes
+// it, as if it were a request that can still be refused.
+func TestStopLetsResumedStreamWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, map[string]*backend{
+			"model-1": newBackend(func(c net.Conn, r *http.Request) {
+				streamEvents(1, 2, "hang")(c, r)
+				time.Sleep(time.Second)
+				closeConn(c)
+			}),
+		})
+		f.backends["model-2"] = newBackend(respond(http.StatusServiceUnavailable, "", "", "X-Not-Executed: 1\r\n"), resume)
+		time.AfterFunc(500*time.Millisecond, func() {
+			f.gateway.ApplyServers(otherServer("model", false), time.Time{})
+			f.gateway.BeginShutdown(time.Now().Add(time.Second), time.Now().Add(5*time.Second))
+		})
+		w, aborted := f.sendRequest(t.Context(), "/note/1", "X-Token-Counts", "1000,100")
+		if aborted || w.Body.String() != completeStream {
+			t.Errorf("aborted %t, status %d, body %q; want all", aborted, w.Code, w.Body)
+		}
+	})
+}
