--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -53,6 +53,13 @@
 }
 
 func newStopFixture(t *testing.T) *stopFixture {
+	t.Helper()
+	f := newUnconfiguredStopFixture(t)
+	f.configure()
+	return f
+}
+
+func newUnconfiguredStopFixture(t *testing.T) *stopFixture {
 	t.Helper()
 	f := &stopFixture{
 		t:        t,
@@ -91,7 +98,6 @@
 			},
 		}, pwobserve.Discard()),
 	}
-	f.configure()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -225,9 +231,9 @@
 type stopCall struct {
 	path string
 	// opened is when the connection is opened, sentAt when the request begins, and
-	// bodyTime how long the caller takes to send its body.
-	opened, sentAt, bodyTime time.Duration
-	deadline                 time.Duration
+	// bodyTime how long the caller takes to send its body. readAt is when it begins to read.
+	opened, sentAt, bodyTime, readAt time.Duration
+	deadline                         time.Duration
 }
 
 // stopResult is what a caller got.
@@ -271,6 +277,9 @@
 		}
 		sent <- time.Now()
 	}()
+	if call.readAt > 0 {
+		time.Sleep(time.Until(f.startAt.Add(call.readAt)))
+	}
 	resp, err := http.ReadResponse(br, nil)
 	now := time.Now()
 	res.answeredAt = now.Sub(f.startAt)
@@ -347,6 +356,8 @@
 		"new connection while it is not ready":   {call: stopCall{path: "/book/50", opened: time.Second, sentAt: time.Second, deadline: short}, status: 200, passedOn: true},
 		"first used late":                        {call: stopCall{path: "/book/50", opened: 2 * time.Second, sentAt: 6500 * time.Millisecond, deadline: short}, status: 200, passedOn: true},
 		"first used at the end":                  {call: stopCall{path: "/book/50", opened: late, sentAt: 7300 * time.Millisecond, deadline: short}, status: 503},
+		"answer ready, caller reads at the end":  {call: stopCall{path: "/book/3000", opened: before, sentAt: before, readAt: 7550 * time.Millisecond, deadline: long}, status: 200, passedOn: true},
+		"answer ready just before the end":       {call: stopCall{path: "/book/7500", opened: before, sentAt: -10 * time.Millisecond, deadline: long}, status: 200, passedOn: true},
 		"slow body, ends after the grace":        {call: stopCall{path: "/book/50", opened: before, sentAt: before, bodyTime: 15 * time.Second, deadline: long}, status: 503},
 		"slow body, begins late":                 {call: stopCall{path: "/book/50", opened: late, sentAt: 5 * time.Second, bodyTime: 15 * time.Second, deadline: long}, status: 503},
 		"slow body, ends late, short deadline":   {call: stopCall{path: "/book/50", opened: late, sentAt: 5 * time.Second, bodyTime: 2 * time.Second, deadline: 2500 * time.Millisecond}, status: 200, passedOn: true},
@@ -521,3 +532,32 @@
 		})
 	}
 }
+
+// Guards against a process that is stopped before it has a configuration and leaves the requests
+// in its listener's queue without an answer, or that goes on after the last connection.
+func TestStopWithoutConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newUnconfiguredStopFixture(t)
+		f.startAt = time.Now().Add(time.Second)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			f.shutdown()
+		}()
+		for n, sentAt := range []time.Duration{-500 * time.Millisecond, 0, 2 * time.Second} {
+			res := f.run(fmt.Sprint("a", n), stopCall{
+				path:     "/book/50",
+				opened:   sentAt,
+				sentAt:   sentAt,
+				deadline: 30 * time.Second,
+			})
+			if res.status != http.StatusServiceUnavailable || !res.complete || res.retryAfter == "" || res.waited > promptRefusal {
+				t.Errorf("the caller of %s got %+v, want a prompt 503 with Retry-After", sentAt, res)
+			}
+		}
+		<-stopped
+		if d := time.Since(f.startAt); d > notReadyPeriod+closePollInterval {
+			t.Errorf("the process ends after %s without connections, want %s", d, notReadyPeriod)
+		}
+	})
+}
