--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -54,6 +54,9 @@
 	// answerMargin is the time between the end of the last requests and that of the
 	// shutdown, in which their answers are written.
 	answerMargin = 200 * time.Millisecond
+	// marginShare bounds shutdownMargin and answerMargin together by a share of the grace
+	// period. Requests must not be ended before the last sixth of it.
+	marginShare = 0.125
 	// firstConfigTimeout bounds the wait for the first configuration, which sets the
 	// connection limits.
 	firstConfigTimeout = 1500 * time.Millisecond
@@ -117,6 +120,7 @@
 	}()
 	p := &process{
 		deployment:   d,
+		bounds:       d.Bounds,
 		settingsPath: path,
 		obs:          pwobserve.New(out, pwrequest.InstanceID(d.Instance), pwrequest.DataCentre(d.DataCentre)),
 		logWriter:    out,
@@ -143,6 +147,10 @@
 	configured       chan struct{}
 	configuredOnce   sync.Once
 	stopping         chan struct{}
+
+	mu sync.Mutex
+	// bounds are those of the settings file when it was last loaded.
+	bounds pwdeployment.Bounds
 }
 
 // run starts the background goroutines and serves callers until ctx ends.
@@ -338,13 +346,17 @@
 
 // shutdown reports not ready for a while, then stops listening and serves the open
 // connections until all are closed. Shortly before the forced kill, it ends the requests
-// that still run, so that each one gets an answer.
+// that still run, so that each one gets an answer. The settings file may have changed without
+// a signal, so it is loaded once more.
 func (p *process) shutdown(callers net.Listener, srv *http.Server, conns *connTracker) {
-	grace := p.deployment.Bounds.StopGracePeriod
-	end := time.Now().Add(grace - shutdownMargin)
-	listenUntil := time.Now().Add(min(notReadyPeriod, time.Duration(notReadyShare*float64(grace))))
+	beganAt := time.Now()
 	close(p.stopping)
-	p.gateway.BeginShutdown(listenUntil, end.Add(-answerMargin))
+	p.reload()
+	grace := p.gracePeriod()
+	marginScale := min(1, marginShare*float64(grace)/float64(shutdownMargin+answerMargin))
+	end := beganAt.Add(grace - time.Duration(marginScale*float64(shutdownMargin)))
+	listenUntil := beganAt.Add(min(notReadyPeriod, time.Duration(notReadyShare*float64(grace))))
+	p.gateway.BeginShutdown(listenUntil, end.Add(-time.Duration(marginScale*float64(answerMargin))))
 	p.obs.LogEvent("stopping", nil)
 	time.Sleep(time.Until(listenUntil))
 	// Closing only fails if the listener is closed already.
@@ -424,12 +436,27 @@
 			}
 		}
 		version = fileVersion(p.settingsPath)
-		d, err := platform.LoadSettings(p.settingsPath)
-		if err != nil {
-			p.obs.Warn("settings file cannot be loaded; the current settings stay in force", err)
-			continue
-		}
-		p.gateway.SetBounds(d.Bounds)
-		p.obs.LogEvent("reload", nil)
+		p.reload()
 	}
 }
+
+// reload applies the bounds of the settings file.
+func (p *process) reload() {
+	d, err := platform.LoadSettings(p.settingsPath)
+	if err != nil {
+		p.obs.Warn("settings file cannot be loaded; the current settings stay in force", err)
+		return
+	}
+	p.mu.Lock()
+	p.bounds = d.Bounds
+	p.mu.Unlock()
+	p.gateway.SetBounds(d.Bounds)
+	p.obs.LogEvent("reload", nil)
+}
+
+// gracePeriod returns the time from the request to stop to the forced kill.
+func (p *process) gracePeriod() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bounds.StopGracePeriod
+}
--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,6 +44,8 @@
 	conns    *connTracker
 	listener *pwfakeplatform.PipeListener
 	startAt  time.Time
+	// grace is the time from the beginning of the stop to the forced kill.
+	grace time.Duration
 
 	mu sync.Mutex
 	// passedOn holds the ids of the requests that reached a backend server.
@@ -49,10 +53,18 @@
 }
 
 func newStopFixture(t *testing.T) *stopFixture {
+	t.Helper()
+	f := newUnconfiguredStopFixture(t)
+	f.configure()
+	return f
+}
+
+func newUnconfiguredStopFixture(t *testing.T) *stopFixture {
 	t.Helper()
 	f := &stopFixture{
 		t:        t,
 		listener: pwfakeplatform.NewPipeListener(),
+		grace:    testGracePeriod,
 		passedOn: make(map[string]int),
 	}
 	deployment := pwdeployment.Deployment{
@@ -73,6 +85,7 @@
 	t.Cleanup(func() { _ = logs.Close() })
 	f.process = &process{
 		deployment: deployment,
+		bounds:     deployment.Bounds,
 		obs:        pwobserve.New(logs, "front-1", "hakata"),
 		logWriter:  logs,
 		stopping:   make(chan struct{}),
@@ -85,7 +98,6 @@
 			},
 		}, pwobserve.Discard()),
 	}
-	f.configure()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -219,9 +231,9 @@
 type stopCall struct {
 	path string
 	// opened is when the connection is opened, sentAt when the request begins, and
-	// bodyTime how long the caller takes to send its body.
-	opened, sentAt, bodyTime time.Duration
-	deadline                 time.Duration
+	// bodyTime how long the caller takes to send its body. readAt is when it begins to read.
+	opened, sentAt, bodyTime, readAt time.Duration
+	deadline                         time.Duration
 }
 
 // stopResult is what a caller got.
@@ -265,6 +277,9 @@
 		}
 		sent <- time.Now()
 	}()
+	if call.readAt > 0 {
+		time.Sleep(time.Until(f.startAt.Add(call.readAt)))
+	}
 	resp, err := http.ReadResponse(br, nil)
 	now := time.Now()
 	res.answeredAt = now.Sub(f.startAt)
@@ -289,8 +304,8 @@
 func (f *stopFixture) shutdown() {
 	time.Sleep(time.Until(f.startAt))
 	f.process.shutdown(f.listener, f.server, f.conns)
-	if d := time.Since(f.startAt); d >= testGracePeriod {
-		f.t.Errorf("the process ends after %s, the grace period is %s", d, testGracePeriod)
+	if d := time.Since(f.startAt); d >= f.grace {
+		f.t.Errorf("the process ends after %s, the grace period is %s", d, f.grace)
 	}
 }
 
@@ -341,6 +356,8 @@
 		"new connection while it is not ready":   {call: stopCall{path: "/book/50", opened: time.Second, sentAt: time.Second, deadline: short}, status: 200, passedOn: true},
 		"first used late":                        {call: stopCall{path: "/book/50", opened: 2 * time.Second, sentAt: 6500 * time.Millisecond, deadline: short}, status: 200, passedOn: true},
 		"first used at the end":                  {call: stopCall{path: "/book/50", opened: late, sentAt: 7300 * time.Millisecond, deadline: short}, status: 503},
+		"answer ready, caller reads at the end":  {call: stopCall{path: "/book/3000", opened: before, sentAt: before, readAt: 7550 * time.Millisecond, deadline: long}, status: 200, passedOn: true},
+		"answer ready just before the end":       {call: stopCall{path: "/book/7500", opened: before, sentAt: -10 * time.Millisecond, deadline: long}, status: 200, passedOn: true},
 		"slow body, ends after the grace":        {call: stopCall{path: "/book/50", opened: before, sentAt: before, bodyTime: 15 * time.Second, deadline: long}, status: 503},
 		"slow body, begins late":                 {call: stopCall{path: "/book/50", opened: late, sentAt: 5 * time.Second, bodyTime: 15 * time.Second, deadline: long}, status: 503},
 		"slow body, ends late, short deadline":   {call: stopCall{path: "/book/50", opened: late, sentAt: 5 * time.Second, bodyTime: 2 * time.Second, deadline: 2500 * time.Millisecond}, status: 200, passedOn: true},
@@ -468,3 +485,79 @@
 		}
 	})
 }
+
+// Guards against a stop that goes by the grace of the start although the settings file has
+// changed since: the forced kill then cuts what still runs, or requests are ended before the
+// last sixth of the grace. The same holds for margins that don't fit a short grace.
+func TestStopUsesNewestGrace(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// settings are the lines of the settings file when the stop begins.
+		settings string
+		grace    time.Duration
+	}{
+		"unchanged": {settings: "bounds.grace-s=8", grace: 8 * time.Second},
+		"shorter":   {settings: "bounds.grace-s=4", grace: 4 * time.Second},
+		"longer":    {settings: "bounds.grace-s=12", grace: 12 * time.Second},
+		"invalid":   {settings: "bounds.grace-s=soon", grace: testGracePeriod},
+		"2 s":       {settings: "bounds.grace-s=2", grace: 2 * time.Second},
+		"1 s":       {settings: "bounds.grace-s=1", grace: time.Second},
+		"300 ms":    {settings: "bounds.grace-s=0.3", grace: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStopFixture(t)
+				f.grace = tc.grace
+				f.process.settingsPath = filepath.Join(t.TempDir(), "settings.conf")
+				lines := "node=front-1\nip-address=10.1.0.40\nplatform.address=10.2.0.1:80\nlisten-addresses.front=10.1.0.40:80\ninternal-ports=1,2\n" + tc.settings
+				if err := os.WriteFile(f.process.settingsPath, []byte(lines), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				f.startAt = time.Now().Add(20 * time.Second)
+				stopped := make(chan struct{})
+				go func() {
+					defer close(stopped)
+					f.shutdown()
+				}()
+				res := f.run("a1", stopCall{
+					path:     "/book/20000",
+					opened:   -time.Second,
+					sentAt:   -time.Second,
+					deadline: 30 * time.Second,
+				})
+				<-stopped
+				if lastSixth := tc.grace * 5 / 6; res.status != http.StatusGatewayTimeout || res.answeredAt < lastSixth || res.answeredAt >= tc.grace {
+					t.Errorf("the caller got %+v, want a 504 between %s and %s", res, lastSixth, tc.grace)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a process that is stopped before it has a configuration and leaves the requests
+// in its listener's queue without an answer, or that goes on after the last connection.
+func TestStopWithoutConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newUnconfiguredStopFixture(t)
+		f.startAt = time.Now().Add(time.Second)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			f.shutdown()
+		}()
+		for n, sentAt := range []time.Duration{-500 * time.Millisecond, 0, 2 * time.Second} {
+			res := f.run(fmt.Sprint("a", n), stopCall{
+				path:     "/book/50",
+				opened:   sentAt,
+				sentAt:   sentAt,
+				deadline: 30 * time.Second,
+			})
+			if res.status != http.StatusServiceUnavailable || !res.complete || res.retryAfter == "" || res.waited > promptRefusal {
+				t.Errorf("the caller of %s got %+v, want a prompt 503 with Retry-After", sentAt, res)
+			}
+		}
+		<-stopped
+		if d := time.Since(f.startAt); d > notReadyPeriod+closePollInterval {
+			t.Errorf("the process ends after %s without connections, want %s", d, notReadyPeriod)
+		}
+	})
+}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -71,6 +71,8 @@
 	runs         int
 	rejections   int
 	triedServers map[string]bool
+	// retryTaken is set when the next send has been taken from the retry budget.
+	retryTaken bool
 	// weightRejections counts the rejections for other weights than the caller expects.
 	weightRejections int
 	// headWritten is set when the head of a streamed response has been written.
@@ -349,8 +351,12 @@
 		}
 		p.capacityWaitUntil = from.Add(time.Duration(x.g.cfg.Policy.WaitShare * float64(abandonTime)))
 	}
-	ctx, cancel := x.g.shutdown.endBefore(ctx, x.neededTime)
-	defer cancel()
+	if !x.headWritten {
+		// A stream that has begun can't be refused any more.
+		var cancel context.CancelFunc
+		ctx, cancel = x.g.shutdown.endBefore(ctx, x.neededTime)
+		defer cancel()
+	}
 	plan, assignment, err := x.g.dispatcher.acquire(ctx, p)
 	if errors.Is(err, errStopping) {
 		err = newDrainRefusal("the process stops before the request, which waits for an engine, can finish")
@@ -395,11 +401,12 @@
 		return x.rejections < x.g.cfg.Policy.MaxRejections, err
 	}
 	defer release()
-	if x.sends > 0 {
+	if x.sends > 0 && !x.retryTaken {
 		if err := x.g.dispatcher.takeRetry(x.service); err != nil {
 			return false, err
 		}
 	}
+	x.retryTaken = false
 	s := &send{
 		x:            x,
 		plan:         plan,
@@ -408,7 +415,9 @@
 		placedAt:     placedAt,
 		eventsBefore: x.eventCount,
 	}
-	return s.execute(ctx)
+	retryable, err = s.execute(ctx)
+	x.retryTaken = s.retryTaken
+	return retryable, err
 }
 
 // finishWithError ends a request that failed. A caller that has left, or has the head of a
