Excuse no stream that is cut before the end of a planned stop

Cause: the soak asks whether a server was at work in the last sixth of the grace as soon as its caller sees the cut. The server has not noticed the cut by then, so that each early stream was excused, whenever it was cut. Change: a time that is still to come is no excuse.

--- a/internal/fake/pwsoak/backend.go
+++ b/internal/fake/pwsoak/backend.go
@@ -83,12 +83,12 @@
 	}
 }
 
-// workedAt reports whether a backend server was still at work on a request at a time in the
-// past.
+// workedAt reports whether a backend server was still at work on a request at a time. If that
+// is still to come, it was not.
 func (c *runCounter) workedAt(id string, t time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.running[id] > 0 || c.endedAt[id].After(t)
+	return time.Now().After(t) && (c.running[id] > 0 || c.endedAt[id].After(t))
 }
 
 func (c *runCounter) count(id string) int {
