Show that a stopping gateway cuts streams of silent servers

What callers see: a stream ends in the middle of a planned stop, although its server would have gone on. Cause: the watchdog leaves a server that sends no event for seven tenths of the time that callers wait. If no other server takes the stream, or the budget of retries is used up, the stream is cut. LOST excuses no silence, and the server is no longer at work in the last sixth of the grace. Result: the new case of TestStopAnswersWhatWasPassedOn fails.

--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -31,6 +31,10 @@
 	testGracePeriod = 8 * time.Second
 	// promptRefusal is the longest time to the refusal of what can't finish.
 	promptRefusal = 50 * time.Millisecond
+	// silence is how long the backend server of the "pause" route sends nothing before its last
+	// event: less than what makes callers leave, but more than the gateway waits outside of a
+	// shutdown.
+	silence = 1600 * time.Millisecond
 )
 
 // stopFixture is a gateway that is stopped while callers use it. The last part of a path
@@ -123,9 +127,12 @@
 			}},
 		}
 	}
+	pause := route("pause", pwcatalog.Streaming, "model")
+	pause.Target, pause.TargetGap = 300*time.Millisecond, 250*time.Millisecond
 	f.process.gateway.SetCatalog(pwcatalog.New(pwcatalog.Spec{
 		Version: 1,
 		Routes: []pwcatalog.Route{
+			pause,
 			route("note", pwcatalog.Streaming, "model"),
 			route("book", pwcatalog.Unsafe, "desk"),
 			route("view", pwcatalog.Safe, "desk"),
@@ -181,7 +188,8 @@
 		f.mu.Unlock()
 		work := pathMillis(r.URL.Path)
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\n", id)
-		if !strings.HasPrefix(r.URL.Path, "/note/") {
+		pauses := strings.HasPrefix(r.URL.Path, "/pause/")
+		if !pauses && !strings.HasPrefix(r.URL.Path, "/note/") {
 			time.Sleep(work)
 			if _, err := io.WriteString(c, head+"Content-Length: 4\r\n\r\ndone"); err != nil {
 				return
@@ -191,6 +199,9 @@
 		const events = 10
 		for n := 1; n <= events; n++ {
 			time.Sleep(work / events)
+			if pauses && n == events {
+				time.Sleep(silence)
+			}
 			ev := fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n)
 			chunk := fmt.Sprintf("%x\r\n%s\r\n", len(ev), ev)
 			if n == 1 {
@@ -337,6 +348,7 @@
 		"stream, late, longer than expected":     {call: stopCall{path: "/note/6000", opened: late, sentAt: 3 * time.Second, deadline: long}, known: "/note/300", status: 503},
 		"stream, late, deadline in the grace":    {call: stopCall{path: "/note/400", opened: late, sentAt: 4 * time.Second, deadline: 3 * time.Second}, status: 200, passedOn: true},
 		"stream, early, body ends late":          {call: stopCall{path: "/note/400", opened: before, sentAt: time.Second, bodyTime: 3 * time.Second, deadline: long}, known: "/note/300", status: 503},
+		"stream, in flight, server is silent":    {call: stopCall{path: "/pause/3000", opened: before, sentAt: before, deadline: long}, status: 200, passedOn: true},
 		"stream, early, known to be short":       {call: stopCall{path: "/note/3000", opened: before, sentAt: time.Second, deadline: long}, known: "/note/3000", status: 200, passedOn: true},
 		"new connection while it is not ready":   {call: stopCall{path: "/book/50", opened: time.Second, sentAt: time.Second, deadline: short}, status: 200, passedOn: true},
 		"first used late":                        {call: stopCall{path: "/book/50", opened: 2 * time.Second, sentAt: 6500 * time.Millisecond, deadline: short}, status: 200, passedOn: true},
