Give servers time on safe routes without a target

What callers saw: 502 at once from a route that states no target-latency-ms, though its server works. Cause: a server had a multiple of the route's target to answer a request that may be repeated. Without a target that is nothing, so the watchdog ended each send as it began. It took a retry for each further server, held the servers for failed, and let only the last attempt run. Evidence: TestSafeRouteWithoutTargetGivesEachServerTime, with the field missing, null and 0: 502 for the only server, and three sends instead of one if there are three. Change: without a target, a server gets an equal share of the time that is left, by the attempts that are left. Routes with a target are as before.

--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -407,6 +407,7 @@
 		helpers:      helpers,
 		placedAt:     placedAt,
 		eventsBefore: x.eventCount,
+		runsBefore:   x.runs,
 	}
 	return s.execute(ctx)
 }
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -32,7 +32,7 @@
 	BusyStallShare float64
 	// SafeTimeoutTargetMultiple is the multiple of the route's target after which a
 	// request that is not a stream leaves an unresponsive server, if it may be
-	// retried.
+	// retried. Without a target, the attempts share the time that is left.
 	SafeTimeoutTargetMultiple float64
 	// MaxRejections limits how often one request may be rejected by a server, fail
 	// to connect, or fail to reserve memory.
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -48,8 +48,10 @@
 	watchdog   *watchdog
 	gaps       gapWindow
 	placedAt   time.Time
-	// eventsBefore is the number of events that earlier sends delivered.
+	// eventsBefore is the number of events that earlier sends delivered, runsBefore the
+	// number of earlier sends that a server may have run.
 	eventsBefore int
+	runsBefore   int
 	// timedOut is set when the watchdog ended the send.
 	timedOut atomic.Bool
 }
@@ -146,8 +148,12 @@
 }
 
 // safeTimeout returns how long a server may take to respond to a request that is not
-// a stream, before the request is sent to another server.
+// a stream, before the request is sent to another server. Without a target, that leaves as
+// much for each of the other attempts.
 func (s *send) safeTimeout() time.Duration {
+	if s.x.route.Target <= 0 {
+		return s.x.deadline.Sub(s.placedAt) / time.Duration(max(1, s.x.route.Attempts-s.runsBefore))
+	}
 	return time.Duration(s.x.g.cfg.Policy.SafeTimeoutTargetMultiple * float64(s.x.route.Target))
 }
 
