Wait a moment for a server on routes without a target

What callers saw: 503 at once from a route without target-latency-ms while the only server of its service rests for 200 ms. A route with a target of 2 s waits for it. Cause: a request waits for a server for an eighth of the route's target, which is nothing without one. Change: without a target, the share is taken of the time that the caller waits: the timeout, or for a stream the time after which it leaves. Routes with a target are as before. Result: TestRouteWithoutTargetWaitsForServer fails before and passes 20 times now, and so do the tests of the package.

--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -324,6 +324,19 @@
 	}
 }
 
+// target returns the target of the route. Without one, it is all the time that the caller
+// waits.
+func (x *exchange) target() time.Duration {
+	switch {
+	case x.route.Target > 0:
+		return x.route.Target
+	case x.route.Kind == pwcatalog.Streaming:
+		return min(x.timeout(), x.g.cfg.Policy.abandonTime(x.route))
+	default:
+		return x.timeout()
+	}
+}
+
 // acquire waits until the request is placed on a server.
 func (x *exchange) acquire(ctx context.Context) (pwfleet.Plan, *pwfleet.Assignment, error) {
 	now := time.Now()
@@ -335,7 +348,7 @@
 		arrivedAt:          x.arrivedAt,
 		firstTokenDeadline: x.arrivedAt.Add(x.route.Target),
 		abandonAt:          x.deadline,
-		noServerWaitUntil:  x.arrivedAt.Add(time.Duration(x.g.cfg.Policy.NoServerWaitShare * float64(x.route.Target))),
+		noServerWaitUntil:  x.arrivedAt.Add(time.Duration(x.g.cfg.Policy.NoServerWaitShare * float64(x.target()))),
 		capacityWaitUntil:  x.deadline,
 	}
 	if x.route.Kind == pwcatalog.Streaming {
--- a/internal/node/pwgateway/no_target_test.go
+++ b/internal/node/pwgateway/no_target_test.go
@@ -58,3 +58,16 @@
 		}
 	}
 }
+
+// Guards against requests of a route without a target that are refused at once while the only
+// server rests for a moment.
+func TestRouteWithoutTargetWaitsForServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRestingSite(t, "desk", 1)
+		s.setSafeRoute(t, 2, "")
+		s.setRest(200*time.Millisecond, "desk-0")
+		time.AfterFunc(100*time.Millisecond, func() { s.setRest(0, "desk-0") })
+		w, _ := s.sendRequest(t.Context(), "/view/1")
+		requireStatus(t, w, http.StatusOK)
+	})
+}
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -41,8 +41,8 @@
 	MaxWaiting int
 	// MaxRequestMemory limits the memory of running requests, in bytes.
 	MaxRequestMemory int64
-	// NoServerWaitShare is the part of the route's target that a request waits while
-	// no server is eligible.
+	// NoServerWaitShare is the part of the route's target, or of the time that the caller
+	// waits if there is none, that a request waits while no server is eligible.
 	NoServerWaitShare float64
 	// WaitShare is the part of the abandon time that a request waits for busy
 	// servers. Afterwards a short prompt goes to the least busy engine, and a long
