Don't take requests without a target for late

What callers saw: 503 for a long prompt of a streaming route without target-latency-ms, though an engine had room for it beside a stream with short gaps. With a target of 300 ms the same prompt is served at once. Cause: the first token was due at the moment at which the request came, so that every request of such a route counted as late. Late ones are queued behind all others of their priority, and long prompts among them don't go to engines whose streams allow only short gaps. Change: without a target, the first token is due when the caller leaves. Routes with a target are as before.

--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -346,7 +346,7 @@
 		workspace:          x.workspace,
 		priority:           x.priority,
 		arrivedAt:          x.arrivedAt,
-		firstTokenDeadline: x.arrivedAt.Add(x.route.Target),
+		firstTokenDeadline: x.arrivedAt.Add(x.target()),
 		abandonAt:          x.deadline,
 		noServerWaitUntil:  x.arrivedAt.Add(time.Duration(x.g.cfg.Policy.NoServerWaitShare * float64(x.target()))),
 		capacityWaitUntil:  x.deadline,
--- a/internal/node/pwgateway/no_target_test.go
+++ b/internal/node/pwgateway/no_target_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/platform"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 )
 
 // setSafeRoute applies a configuration whose only route is safe and has no target unless
@@ -71,3 +73,40 @@
 		requireStatus(t, w, http.StatusOK)
 	})
 }
+
+// Guards against long prompts of a route without a target that count as late when they come,
+// and so are refused by engines that have room beside streams with short gaps.
+func TestLongPromptWithoutTargetIsNotLate(t *testing.T) {
+	for _, target := range []time.Duration{300 * time.Millisecond, 0} {
+		t.Run(target.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, map[string]*backend{
+					"model-1": newBackend(func(c net.Conn, r *http.Request) {
+						if r.Header.Get("X-Token-Counts") == "1000,100" {
+							time.Sleep(time.Second)
+						}
+						streamEvents(1, 3, "end")(c, r)
+					}),
+				})
+				route := newRoute("note", pwcatalog.Streaming, "model")
+				route.Target = target
+				f.gateway.SetCatalog(pwcatalog.New(pwcatalog.Spec{
+					Version: 2,
+					Routes:  []pwcatalog.Route{route},
+					Services: []pwcatalog.Service{{
+						Name:   "model",
+						Engine: &engine,
+					}},
+				}))
+				go f.sendRequest(t.Context(), "/note/short", "X-Attempt-Id", "short", "X-Token-Counts", "1000,100")
+				synctest.Wait()
+				startedAt := time.Now()
+				w, _ := f.sendRequest(t.Context(), "/note/long", "X-Token-Counts", "24000,100")
+				requireStatus(t, w, http.StatusOK)
+				if took := time.Since(startedAt); took > 0 {
+					t.Errorf("the prompt waited %s for an engine with room", took)
+				}
+			})
+		})
+	}
+}
