Count own requests of routes without a gap as arrivals

What callers saw: nothing yet; found while looking for limits that count as nothing because a configuration does not state them. Cause: a process draws the engine of a short prompt from a window that grows with the requests that others have sent unseen, which it estimates from the rate of arrivals. It counted its own requests only if their route states target-gap-ms, and those of its peers always. Evidence: 12 processes that don't hear each other placed 10 prompts each on 40 engines of 10 slots: with a gap of 250 ms they used 39 engines, without one 5 engines got 24 each. Change: a request counts if its service has model engines, as it does for peers. Result: TestUnheardProcessesSpreadPromptsWithoutGap fails before and passes now, and so do the tests of pwfleet and pwgateway.

--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -734,7 +734,7 @@
 		l.MediumStreams = 1
 	}
 	a.add(p.Server.ID, l)
-	if p.maxGap > 0 {
+	if _, ok := f.models[p.Server.Service]; ok {
 		f.arrivals.add(now, 1)
 	}
 	for i, h := range p.Helpers {
