Keep requests refused that a finished neighbour can't excuse

Cause: a crash is excused while a neighbour of that crash looks more responsible. That also held for a neighbour that had since finished alone, so that its own crash was cleared: if two other servers then crashed under it by accident, a request that was refused after two crashes ran again and crashed a third server. Change: a neighbour whose crashes beside the request are all cleared excuses it no more. Neighbours whose own crashes don't name the request excuse it as before, since those of groups name nobody.

--- a/internal/core/pwquarantine/quarantine.go
+++ b/internal/core/pwquarantine/quarantine.go
@@ -264,9 +264,10 @@
 
 // countedCrashes returns the crashes that count against a fingerprint, oldest first. A
 // crash doesn't count if it is attributed to a neighbour: one that has reached
-// Config.RefuseAfter crashes and against which there is stronger evidence. Without the
-// comparison of evidence, two requests that always crashed together would excuse each
-// other, and the responsible one would never be stopped.
+// Config.RefuseAfter crashes, against which there is stronger evidence, and that hasn't
+// finished in isolation since. Without the comparison of evidence, two requests that
+// always crashed together would excuse each other, and the responsible one would never be
+// stopped.
 //
 // The result depends only on the merged sets, not on the order in which they arrived,
 // so entries that hold the same crashes decide alike.
@@ -281,7 +282,7 @@
 		c := &r.crashes[i]
 		excused := slices.ContainsFunc(c.Neighbours, func(other uint64) bool {
 			e := t.evidenceFor(now, other)
-			return other != fingerprint && e.total >= t.cfg.RefuseAfter && e.exceeds(ownEvidence)
+			return other != fingerprint && e.total >= t.cfg.RefuseAfter && e.exceeds(ownEvidence) && !t.isCleared(other, fingerprint)
 		})
 		if t.isActive(now, c) && !excused {
 			out = append(out, *c)
@@ -290,6 +291,21 @@
 	return out
 }
 
+// isCleared reports whether a fingerprint has crashed beside a neighbour, and all of these
+// crashes are cleared.
+func (t *Tracker) isCleared(fingerprint, neighbour uint64) bool {
+	found := false
+	for _, c := range t.records[fingerprint].crashes {
+		if slices.Contains(c.Neighbours, neighbour) {
+			if !c.Cleared {
+				return false
+			}
+			found = true
+		}
+	}
+	return found
+}
+
 // Merge adds the crashes of another process. Attempts that are already recorded don't
 // count again.
 func (t *Tracker) Merge(now time.Time, received []FingerprintCrashes) {
--- a/internal/core/pwquarantine/quarantine_test.go
+++ b/internal/core/pwquarantine/quarantine_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
@@ -55,6 +57,47 @@
 	})
 }
 
+// TestRequestCrashesTwoServers guards against a crashing request that runs a third time,
+// because servers also crash by accident under its neighbours and entries learn of it late.
+func TestRequestCrashesTwoServers(t *testing.T) {
+	const crashing = uint64(0)
+	rapid.Check(t, func(t *rapid.T) {
+		entries := []*Tracker{New(Config{}), New(Config{}), New(Config{})}
+		entry := rapid.IntRange(0, len(entries)-1)
+		crashes := 0
+		for step := range 40 {
+			now := epoch.Add(time.Duration(step) * time.Second)
+			if rapid.IntRange(0, 3).Draw(t, "exchange") == 0 {
+				entries[entry.Draw(t, "to")].Merge(now, entries[entry.Draw(t, "from")].Snapshot(now))
+				continue
+			}
+			// Each request is always sent through the same entry.
+			home := func(f uint64) *Tracker { return entries[f%uint64(len(entries))] }
+			running := rapid.SliceOfNDistinct(rapid.Uint64Range(crashing, 4), 1, 3, rapid.ID).Draw(t, "requests")
+			isolated := slices.IndexFunc(running, func(f uint64) bool { return home(f).Decide(now, f) == Isolated })
+			if isolated >= 0 {
+				running = running[isolated : isolated+1]
+			}
+			running = slices.DeleteFunc(running, func(f uint64) bool { return home(f).Decide(now, f) == Refused })
+			crashed := slices.Contains(running, crashing)
+			if crashed {
+				crashes++
+			}
+			crashed = rapid.IntRange(0, 2).Draw(t, "accident") == 0 || crashed
+			for _, f := range running {
+				if crashed {
+					home(f).RecordCrash(now, f, pwrequest.AttemptID(fmt.Sprint(step, "-", f)), lo.Without(running, f))
+				} else {
+					home(f).ClearCrashes(now, f)
+				}
+			}
+		}
+		if crashes > DefaultRefuseAfter {
+			t.Fatalf("%d crashes, want %d at most", crashes, DefaultRefuseAfter)
+		}
+	})
+}
+
 // TestTrackerSizeIsBounded guards against a tracker that grows without limit.
 func TestTrackerSizeIsBounded(t *testing.T) {
 	tr := New(Config{MaxFingerprints: 100})
