Name all requests of a crash in every attempt that reports it

Cause: attempts that an engine crashes under see that at once and each ask the agent for the others. One that asked after others had ended got a shorter list, down to itself alone, and its request counted as having crashed a server alone. Together with one accident it then excused the crashing request for good, which could so run a third time, though alone. Such a late report also told the agent of a second crash. TestCrashNamesAllAttempts fails before: the attempts name 3, 2 and 1 of 3 requests. Change: the agent records the list in all attempts under its lock, and an attempt that reports a recorded crash gets that list. Result: the test passes, and so do the tests of pwagent (with the race detector, too), pwentry, pwprocess and pwscenario.

--- a/internal/node/pwagent/attempt.go
+++ b/internal/node/pwagent/attempt.go
@@ -186,11 +186,9 @@
 			Reason: finish.Reason,
 		}
 	}
-	t.mu.Lock()
-	crashed, concurrent := t.serverCrashed, t.concurrentFingerprints
-	t.mu.Unlock()
+	crashed, concurrent := t.crash()
 	if !crashed && ctx.Err() == nil && isServerCrash(err) {
-		crashed, concurrent = true, t.agent.handleEngineCrash(t.id)
+		crashed, concurrent = true, t.agent.handleEngineCrash(t)
 	}
 	if ctx.Err() == nil && pwverdict.VerdictOf(err) == pwverdict.NotRun && pwverdict.CauseOf(err) == pwverdict.CauseUnavailable {
 		t.agent.handleUnresponsiveEngine()
@@ -224,12 +222,19 @@
 	t.cancelCtx(cause)
 }
 
-// endAfterCrash ends the attempt after a crash of its backend server. concurrent
-// holds the fingerprints of all requests that ran on the server at that time.
-func (t *attempt) endAfterCrash(concurrent []uint64) {
+// recordCrash records a crash of the attempt's backend server, unless one is recorded.
+// concurrent holds the fingerprints of all requests that ran on the server at that time.
+func (t *attempt) recordCrash(concurrent []uint64) {
 	t.mu.Lock()
-	t.serverCrashed = true
-	t.concurrentFingerprints = concurrent
-	t.mu.Unlock()
-	t.cancelCtx(errServerCrashed)
+	defer t.mu.Unlock()
+	if !t.serverCrashed {
+		t.serverCrashed, t.concurrentFingerprints = true, concurrent
+	}
+}
+
+// crash returns what recordCrash has recorded.
+func (t *attempt) crash() (crashed bool, concurrent []uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.serverCrashed, t.concurrentFingerprints
 }
--- a/internal/node/pwagent/engine.go
+++ b/internal/node/pwagent/engine.go
@@ -3,9 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
-	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
 
@@ -41,7 +42,7 @@
 	}
 	a.mu.Unlock()
 	if restarted {
-		a.handleEngineCrash("")
+		a.handleEngineCrash(nil)
 		a.mu.Lock()
 		a.crashHandled = false
 		a.mu.Unlock()
@@ -69,26 +70,36 @@
 
 // handleEngineCrash ends every attempt that ran on the engine and returns the
 // fingerprints of their requests. reporter is the attempt whose failure showed the
-// crash; it ends itself.
-func (a *Agent) handleEngineCrash(reporter pwrequest.AttemptID) []uint64 {
+// crash, or nil; it ends itself.
+func (a *Agent) handleEngineCrash(reporter *attempt) []uint64 {
 	now := time.Now()
 	a.mu.Lock()
+	if reporter != nil {
+		// Another attempt may have reported the crash, and may have ended, since the
+		// reporter last looked.
+		if crashed, concurrent := reporter.crash(); crashed {
+			a.mu.Unlock()
+			return concurrent
+		}
+	}
 	a.admission.HandleEngineRestart(now)
 	a.engineResponding = false // until the next successful check
 	a.crashHandled = true
 	a.signalLoadChange()
-	var others []*attempt
-	var fingerprints []uint64
-	for id, t := range a.running {
+	running := slices.Collect(maps.Values(a.running))
+	fingerprints := make([]uint64, 0, len(running))
+	for _, t := range running {
 		fingerprints = append(fingerprints, t.request.Fingerprint())
-		if id != reporter {
-			others = append(others, t)
-		}
+	}
+	for _, t := range running {
+		t.recordCrash(fingerprints)
 	}
 	a.discardMembers()
 	a.mu.Unlock()
-	for _, t := range others {
-		t.endAfterCrash(fingerprints)
+	for _, t := range running {
+		if t != reporter {
+			t.cancelCtx(errServerCrashed)
+		}
 	}
 	a.obs.Warn("backend server crashed", errServerCrashed, "backend_server", string(a.cfg.BackendServer))
 	return fingerprints
--- a/internal/node/pwagent/member.go
+++ b/internal/node/pwagent/member.go
@@ -128,7 +128,7 @@
 	resp.Refusal = pwrpc.NewRefusal(err)
 	if isServerCrash(err) {
 		resp.ServerDied = true
-		resp.ConcurrentFingerprints = a.handleEngineCrash("")
+		resp.ConcurrentFingerprints = a.handleEngineCrash(nil)
 	}
 	return resp, nil
 }
