Keep servers running when they get SIGHUP

What callers saw: an entry or an agent that got SIGHUP ended at once and cut all its streams and calls; a gateway did so until its settings loop had begun, and again once that loop had ended. Cause: only the settings loop of the gateway registered SIGHUP. Everywhere else the default action of the signal holds, which ends the process. Evidence: TestHangUpEndsNoServer (signal while the settings are read) and TestSignalsOfRunningServer failed for gateway, entry and agent with "signal: hangup". Change: the program registers SIGHUP before anything else if its command runs a server. Other commands still end with their terminal. Result: both tests pass, also with -race. They also show that a second SIGTERM, and one that comes while the settings are read, end an entry and an agent with exit code 0. What remains: SIGHUP before main runs still ends the process.

--- a/internal/cli/pwroot/root.go
+++ b/internal/cli/pwroot/root.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"runtime/debug"
+	"slices"
 
 	"github.com/alecthomas/kong"
 
@@ -71,6 +72,14 @@
 	return err
 }
 
+// serverCommands are the commands that serve requests until they are stopped.
+var serverCommands = []string{"gateway", "entry", "agent", "demo"}
+
+// RunsServer reports whether the command of a command line serves requests.
+func RunsServer(args []string) bool {
+	return len(args) > 0 && slices.Contains(serverCommands, args[0])
+}
+
 // Main runs a command line with the given streams and returns the exit code.
 func Main(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer) int {
 	return Run(ctx, args, pwconsole.NewEnv(in, out, errOut))
