State that a followed request may have run when its entry stops

What callers saw: who read the answer of another entry's request, or had sent its prompt again with the same key, got the verdict not_run when the reading entry was stopped, though the request ran and its tokens had been delivered. Cause: EndRequests fails requests with not_run unless an attempt was sent from here. A followed request has its attempt at another entry. Evidence: case "follower from before" of TestStoppingEntryAnswersCallers failed; the other ten cases pass on the old code as well: whole answers, streams and calls that run once get a failure with may_have_run when they last longer than shutdown_ms, late ones a 503 with not_run. Change: a followed request counts as one that may have run. Result: all cases pass.

--- a/internal/node/pwentry/follow.go
+++ b/internal/node/pwentry/follow.go
@@ -35,6 +35,7 @@
 		return f
 	}
 	f := newInFlightRequest(e, r, "")
+	f.mayHaveRun = true
 	f.currentAttempt = pwrequest.AttemptID(rec.AttemptId)
 	f.currentAddress = rec.AgentAddress
 	e.requests[r.ID()] = f
