Follow no more requests in a stopping entry

What callers saw: a stopping entry took late readers of another entry's answer, and late repeats of its prompt with the same key, and failed them in the middle of the answer. One whose body arrived after the entry's last own request had ended was cut at the end of shutdown_ms without an event. Cause: the check for a shutdown comes after the search for an earlier submission, and reading an answer had none. The cut: the entry had no request left, so EndRequests was not called, and the servers were closed. Evidence: "late follower", "late repeat of a prompt" and "repeat whose body ends late" of TestStoppingEntryAnswersCallers failed, the last with an unexpected end of the stream. Change: a stopping entry follows no further requests: 503 at once, with may_have_run, since the request runs elsewhere. Requests that it follows already go on. Result: all cases pass.

--- a/internal/node/pwentry/follow.go
+++ b/internal/node/pwentry/follow.go
@@ -19,8 +19,9 @@
 )
 
 // followRecord returns the in-flight request for a request that another entry admitted,
-// and starts to copy its answer.
-func (e *Entry) followRecord(rec *pwrpc.RequestRecord) *InFlightRequest {
+// and starts to copy its answer. A stopping entry doesn't, because it couldn't copy the
+// whole answer.
+func (e *Entry) followRecord(rec *pwrpc.RequestRecord) (*InFlightRequest, error) {
 	r := pwrequest.New(pwrequest.Params{
 		ID:         pwrequest.ID(rec.RequestId),
 		Workspace:  pwrequest.WorkspaceID(rec.Workspace),
@@ -32,7 +33,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if f, ok := e.requests[r.ID()]; ok {
-		return f
+		return f, nil
+	}
+	if e.draining {
+		return nil, pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseDraining, "request runs at another entry, and this entry is shutting down; ask another one").
+			WithRetryAfter(time.Second)
 	}
 	f := newInFlightRequest(e, r, "")
 	f.mayHaveRun = true
@@ -43,7 +48,7 @@
 		inFlight: f,
 		record:   rec,
 	}).run()
-	return f
+	return f, nil
 }
 
 // follower copies the answer of another entry's request from the agent that holds it.
--- a/internal/node/pwentry/submit.go
+++ b/internal/node/pwentry/submit.go
@@ -233,7 +233,7 @@
 	if rec == nil {
 		return nil, errRequestNotFound(id)
 	}
-	return e.followRecord(rec), nil
+	return e.followRecord(rec)
 }
 
 func errRequestNotFound(id pwrequest.ID) error {
--- a/internal/node/pwprocess/shutdown_test.go
+++ b/internal/node/pwprocess/shutdown_test.go
@@ -197,6 +197,9 @@
 		"late stream, new connection":    {call: stopCall{method: http.MethodPost, path: chat, body: prompt(8, true), opened: late, sentAt: late}, busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
 		"follower from before":           {call: at(follow, before, false), status: 200, texts: []string{mayRun, "draining", "[DONE]"}},
 		"body that ends late":            {call: slow(post(chat, prompt(8, true)), late), status: 503, texts: []string{notRun, "draining"}, by: late},
+		"late follower":                  {call: at(follow, late, true), busy: true, status: 503, texts: []string{mayRun, "draining"}, by: late},
+		"late repeat of a prompt":        {call: at(withKey(post(chat, prompt(8000, true)), demoKey), late, true), busy: true, status: 503, texts: []string{mayRun, "draining"}, by: late},
+		"repeat whose body ends late":    {call: slow(withKey(post(chat, prompt(8000, true)), demoKey), late), status: 503, texts: []string{mayRun, "draining"}, by: late},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
