Make callers of a stopping entry leave their connections

What callers saw: on a kept connection to a stopping entry all further requests were refused, for as long as its own requests lasted (up to shutdown_ms, an hour by default). Cause: responses did not ask callers to close the connection, so their balancer never chose another entry. Change: a stopping entry sends "Connection: close" with each response, which makes Go's HTTP/2 server announce the end of the connection too (not run here).

--- a/internal/node/pwentry/http.go
+++ b/internal/node/pwentry/http.go
@@ -69,6 +69,10 @@
 	select {
 	case a.requestSlots <- struct{}{}:
 		defer func() { <-a.requestSlots }()
+		if a.entry.Draining() {
+			// The caller's next request should reach another entry.
+			w.Header().Set("Connection", "close")
+		}
 		if _, pattern := a.mux.Handler(r); pattern == "" {
 			w = &problemWriter{
 				ResponseWriter: w,
--- a/internal/node/pwprocess/shutdown_test.go
+++ b/internal/node/pwprocess/shutdown_test.go
@@ -95,6 +95,7 @@
 // stopResult is what a caller got.
 type stopResult struct {
 	status int
+	closes bool
 	body   string
 	err    error
 	// answeredAt counts from the beginning of the shutdown.
@@ -142,7 +143,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	res.status, res.body, res.err = resp.StatusCode, string(body), err
+	res.status, res.closes, res.body, res.err = resp.StatusCode, resp.Close, string(body), err
 	return res
 }
 
@@ -241,6 +242,9 @@
 						t.Errorf("the answer lacks %s: %.1000s", text, res.body)
 					}
 				}
+				if tc.call.sentAt > 0 && res.err == nil && !res.closes {
+					t.Error("the answer doesn't ask the caller to close its connection")
+				}
 			})
 		})
 	}
