Answer the first requests of connections that are open at a stop

What callers saw: a request on a connection that was opened before a stop of an entry and not used yet got no answer, if it came in the 5 s after the last running request had ended. It was not dispatched. Cause: Server.Shutdown leaves unused connections open for 5 s, and drops each request that it reads in that time. Evidence: the cases "unused connection" of TestStoppingEntryAnswersCallers failed with an unexpected end of the connection. Change: a server that stops closes its listener and serves on until its unused connections have sent their first request or were closed for sending none; Shutdown comes after that. A request that crosses the close of a kept connection is still lost to its caller; it is not dispatched.

--- a/internal/node/pwprocess/process.go
+++ b/internal/node/pwprocess/process.go
@@ -277,10 +277,59 @@
 
 // httpServers runs an HTTP server for each endpoint of a process.
 type httpServers struct {
-	servers []*http.Server
+	servers []*httpServer
 	wg      sync.WaitGroup
 }
 
+// httpServer is a server with its listener and the open connections that have carried no
+// request yet.
+type httpServer struct {
+	*http.Server
+	listener net.Listener
+
+	mu     sync.Mutex
+	unused map[net.Conn]struct{}
+}
+
+// track records which connections are unused.
+func (s *httpServer) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateNew {
+		s.unused[c] = struct{}{}
+	} else {
+		delete(s.unused, c)
+	}
+}
+
+func (s *httpServer) unusedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.unused)
+}
+
+// unusedPollInterval is how often a server that stops looks for unused connections.
+const unusedPollInterval = 20 * time.Millisecond
+
+// stop closes the server when its open requests or ctx have ended. Once Server.Shutdown is
+// called, the server drops each request that it reads, without an answer. So the requests of
+// unused connections are awaited before; the server closes those that send none.
+func (s *httpServer) stop(ctx context.Context) {
+	// Closing only fails if the listener is closed already.
+	_ = s.listener.Close()
+	ticker := time.NewTicker(unusedPollInterval)
+	defer ticker.Stop()
+	for s.unusedCount() > 0 && ctx.Err() == nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+		}
+	}
+	if s.Shutdown(ctx) != nil {
+		_ = s.Close()
+	}
+}
+
 // start opens the endpoints and serves them in the background.
 func (s *httpServers) start(ctx context.Context, obs *pwobserve.Observer, endpoints ...endpoint) error {
 	for _, e := range endpoints {
@@ -288,11 +337,16 @@
 		if err != nil {
 			return err
 		}
-		srv := pwtransport.NewServer(e.handler, e.tls)
+		srv := &httpServer{
+			Server:   pwtransport.NewServer(e.handler, e.tls),
+			listener: ln,
+			unused:   map[net.Conn]struct{}{},
+		}
 		srv.ErrorLog = log.New(errorLogWriter{obs}, "", 0)
+		srv.ConnState = srv.track
 		s.servers = append(s.servers, srv)
 		obs.Info("listening", "address", ln.Addr().String())
-		s.wg.Go(func() { _ = pwtransport.Serve(srv, ln) })
+		s.wg.Go(func() { _ = pwtransport.Serve(srv.Server, ln) })
 	}
 	return nil
 }
@@ -300,9 +354,7 @@
 // stop closes the servers when their open requests or ctx have ended.
 func (s *httpServers) stop(ctx context.Context) {
 	for _, srv := range s.servers {
-		if srv.Shutdown(ctx) != nil {
-			_ = srv.Close()
-		}
+		srv.stop(ctx)
 	}
 	s.wg.Wait()
 }
--- a/internal/node/pwprocess/shutdown_test.go
+++ b/internal/node/pwprocess/shutdown_test.go
@@ -187,20 +187,22 @@
 		// by is when the answer must be complete, if not at the end of the shutdown.
 		by time.Duration
 	}{
-		"whole answer, too long":         {call: post(chat, prompt(8000, false)), status: 503, texts: []string{mayRun, "draining"}},
-		"whole answer, short":            {call: post(chat, prompt(100, false)), status: 200, texts: []string{"usage"}},
-		"stream, too long":               {call: post(chat, prompt(8000, true)), status: 200, texts: []string{mayRun, "draining", "[DONE]"}},
-		"stream, short":                  {call: post(chat, prompt(100, true)), status: 200, texts: []string{`"finish_reason":"length"`, "[DONE]"}},
-		"call that runs once, too long":  {call: withKey(post(reserve, `{"item":"scaffold"}`), "k1"), status: 503, texts: []string{mayRun, "draining"}},
-		"late prompt, kept connection":   {call: at(post(chat, prompt(8, false)), late, true), busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
-		"late stream, unused connection": {call: at(post(chat, prompt(8, true)), late, false), busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
-		"late call that runs once":       {call: at(withKey(post(reserve, `{"item":"scaffold"}`), "k1"), late, true), busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
-		"late stream, new connection":    {call: stopCall{method: http.MethodPost, path: chat, body: prompt(8, true), opened: late, sentAt: late}, busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
-		"follower from before":           {call: at(follow, before, false), status: 200, texts: []string{mayRun, "draining", "[DONE]"}},
-		"body that ends late":            {call: slow(post(chat, prompt(8, true)), late), status: 503, texts: []string{notRun, "draining"}, by: late},
-		"late follower":                  {call: at(follow, late, true), busy: true, status: 503, texts: []string{mayRun, "draining"}, by: late},
-		"late repeat of a prompt":        {call: at(withKey(post(chat, prompt(8000, true)), demoKey), late, true), busy: true, status: 503, texts: []string{mayRun, "draining"}, by: late},
-		"repeat whose body ends late":    {call: slow(withKey(post(chat, prompt(8000, true)), demoKey), late), status: 503, texts: []string{mayRun, "draining"}, by: late},
+		"whole answer, too long":               {call: post(chat, prompt(8000, false)), status: 503, texts: []string{mayRun, "draining"}},
+		"whole answer, short":                  {call: post(chat, prompt(100, false)), status: 200, texts: []string{"usage"}},
+		"stream, too long":                     {call: post(chat, prompt(8000, true)), status: 200, texts: []string{mayRun, "draining", "[DONE]"}},
+		"stream, short":                        {call: post(chat, prompt(100, true)), status: 200, texts: []string{`"finish_reason":"length"`, "[DONE]"}},
+		"call that runs once, too long":        {call: withKey(post(reserve, `{"item":"scaffold"}`), "k1"), status: 503, texts: []string{mayRun, "draining"}},
+		"late prompt, kept connection":         {call: at(post(chat, prompt(8, false)), late, true), busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
+		"late stream, unused connection":       {call: at(post(chat, prompt(8, true)), late, false), busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
+		"late call that runs once":             {call: at(withKey(post(reserve, `{"item":"scaffold"}`), "k1"), late, true), busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
+		"late stream, new connection":          {call: stopCall{method: http.MethodPost, path: chat, body: prompt(8, true), opened: late, sentAt: late}, busy: true, status: 503, texts: []string{notRun, "draining"}, by: late},
+		"follower from before":                 {call: at(follow, before, false), status: 200, texts: []string{mayRun, "draining", "[DONE]"}},
+		"body that ends late":                  {call: slow(post(chat, prompt(8, true)), late), status: 503, texts: []string{notRun, "draining"}, by: late},
+		"late follower":                        {call: at(follow, late, true), busy: true, status: 503, texts: []string{mayRun, "draining"}, by: late},
+		"late repeat of a prompt":              {call: at(withKey(post(chat, prompt(8000, true)), demoKey), late, true), busy: true, status: 503, texts: []string{mayRun, "draining"}, by: late},
+		"repeat whose body ends late":          {call: slow(withKey(post(chat, prompt(8000, true)), demoKey), late), status: 503, texts: []string{mayRun, "draining"}, by: late},
+		"unused connection, nothing runs":      {call: at(post(chat, prompt(8, true)), time.Second, false), status: 503, texts: []string{notRun, "draining"}, by: time.Second},
+		"unused connection, call that is safe": {call: at(stopCall{method: http.MethodGet, path: "/readyz", opened: before}, time.Second, false), status: 503, by: time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
