Refuse requests whose bodies don't arrive before the end of a stop

What callers saw: a request whose body was still being sent when a stopping entry reached the end of shutdown_ms got a closed connection without an answer. It had not run. Cause: only admitted requests were ended before the servers were closed, and not even these if they had all ended by themselves. Change: an entry also waits for bodies until it ends its requests, in the last quarter of shutdown_ms (4 s at most), and gives up on them then.

--- a/internal/node/pwentry/http.go
+++ b/internal/node/pwentry/http.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -73,6 +75,17 @@
 			// The caller's next request should reach another entry.
 			w.Header().Set("Connection", "close")
 		}
+		if r.Body != http.NoBody {
+			body := &stoppableBody{
+				ReadCloser: r.Body,
+				ctx:        a.entry.callsCtx,
+			}
+			body.stop = context.AfterFunc(a.entry.callsCtx, func() {
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+			})
+			defer body.stop()
+			r.Body = body
+		}
 		if _, pattern := a.mux.Handler(r); pattern == "" {
 			w = &problemWriter{
 				ResponseWriter: w,
@@ -86,6 +99,27 @@
 	}
 }
 
+// stoppableBody is the body of a request, whose arrival is awaited until the entry ends its
+// requests.
+type stoppableBody struct {
+	io.ReadCloser
+	ctx  context.Context
+	stop func() bool
+}
+
+// Read implements io.Reader.
+func (b *stoppableBody) Read(p []byte) (int, error) {
+	if b.ctx.Err() != nil {
+		return 0, os.ErrDeadlineExceeded // the deadline may have been replaced
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		// A deadline that is set later would end the context of the request.
+		b.stop()
+	}
+	return n, err
+}
+
 // problemWriter replaces the plain-text error of http.ServeMux for an unknown path or
 // method with a problem document.
 type problemWriter struct {
--- a/internal/node/pwprocess/entry.go
+++ b/internal/node/pwprocess/entry.go
@@ -110,8 +110,8 @@
 	answerTimeDivisor = 4
 )
 
-// shutdown waits until the admitted requests have ended, and ends those that last too long,
-// before it closes the servers.
+// shutdown waits until the admitted requests have ended and the bodies of others have arrived,
+// and ends those that take too long, before it closes the servers.
 func (p *entryProcess) shutdown(ctx context.Context, srv *httpServers) error {
 	timeout := p.settings.Entry.ShutdownTimeout()
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
@@ -120,6 +120,9 @@
 	drainCtx, cancelDrain := context.WithTimeout(ctx, timeout-min(maxAnswerTime, timeout/answerTimeDivisor))
 	defer cancelDrain()
 	err := p.entry.Shutdown(drainCtx)
+	if err == nil {
+		err = srv.drain(drainCtx)
+	}
 	if err != nil {
 		p.obs.Warn("requests are ended because the shutdown takes too long", err)
 		err = p.entry.EndRequests(ctx)
--- a/internal/node/pwprocess/process.go
+++ b/internal/node/pwprocess/process.go
@@ -311,10 +311,11 @@
 // unusedPollInterval is how often a server that stops looks for unused connections.
 const unusedPollInterval = 20 * time.Millisecond
 
-// stop closes the server when its open requests or ctx have ended. Once Server.Shutdown is
+// drain stops listening and waits until the open requests have ended. It returns the error of
+// ctx if ctx ends first, and may be called again. Once Server.Shutdown is
 // called, the server drops each request that it reads, without an answer. So the requests of
 // unused connections are awaited before; the server closes those that send none.
-func (s *httpServer) stop(ctx context.Context) {
+func (s *httpServer) drain(ctx context.Context) error {
 	// Closing only fails if the listener is closed already.
 	_ = s.listener.Close()
 	ticker := time.NewTicker(unusedPollInterval)
@@ -325,9 +326,7 @@
 		case <-ctx.Done():
 		}
 	}
-	if s.Shutdown(ctx) != nil {
-		_ = s.Close()
-	}
+	return s.Shutdown(ctx)
 }
 
 // start opens the endpoints and serves them in the background.
@@ -351,10 +350,23 @@
 	return nil
 }
 
+// drain makes all servers stop listening and waits until their open requests have ended. It
+// returns the error of ctx if ctx ends first.
+func (s *httpServers) drain(ctx context.Context) error {
+	for _, srv := range s.servers {
+		if err := srv.drain(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // stop closes the servers when their open requests or ctx have ended.
 func (s *httpServers) stop(ctx context.Context) {
 	for _, srv := range s.servers {
-		srv.stop(ctx)
+		if srv.drain(ctx) != nil {
+			_ = srv.Close()
+		}
 	}
 	s.wg.Wait()
 }
--- a/internal/node/pwprocess/shutdown_test.go
+++ b/internal/node/pwprocess/shutdown_test.go
@@ -155,6 +155,7 @@
 		reserve = "/v1/services/" + pwfakefleet.PlainService + "/methods/" + pwfakeservice.MethodReserve
 		before  = -time.Second
 		late    = 3 * time.Second
+		never   = 30 * time.Second
 		mayRun  = `"verdict":"may_have_run"`
 		notRun  = `"verdict":"not_run"`
 	)
@@ -203,6 +204,9 @@
 		"repeat whose body ends late":          {call: slow(withKey(post(chat, prompt(8000, true)), demoKey), late), status: 503, texts: []string{mayRun, "draining"}, by: late},
 		"unused connection, nothing runs":      {call: at(post(chat, prompt(8, true)), time.Second, false), status: 503, texts: []string{notRun, "draining"}, by: time.Second},
 		"unused connection, call that is safe": {call: at(stopCall{method: http.MethodGet, path: "/readyz", opened: before}, time.Second, false), status: 503, by: time.Second},
+		"body that doesn't end":                {call: slow(post(chat, prompt(8, true)), never), status: 408, texts: []string{notRun}},
+		"body that doesn't end, busy":          {call: slow(post(chat, prompt(8, true)), never), busy: true, status: 408, texts: []string{notRun}},
+		"body that begins at the end":          {call: stopCall{method: http.MethodPost, path: chat, body: prompt(8, true), opened: 4 * time.Second, sentAt: 6500 * time.Millisecond, bodyTime: never}, busy: true, status: 408, texts: []string{notRun}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
