Answer calls at the end of a stop when the store is slow

What callers saw: a call that runs once and lasted longer than the stop of an entry got a closed connection instead of its failure, if the store was slow. Cause: the entry asks the store for 3 s to abort the claim, to learn whether the call has run. Evidence: "call that runs once, slow store" of TestStoppingEntryAnswersCallers (shutdown_ms 8000) failed with an unexpected end of the connection. Change: aborts end after half of that time; the verdict is then may_have_run, which is true in any case. A call whose claim the store has not confirmed yet got its not_run before as well ("call that is claimed, slow store").

--- a/internal/node/pwentry/call.go
+++ b/internal/node/pwentry/call.go
@@ -200,6 +200,7 @@
 func (c *callRun) resolveFailure(ctx context.Context, id pwrequest.AttemptID, err error) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTimeout)
 	defer cancel()
+	defer context.AfterFunc(c.entry.abortsCtx, cancel)()
 	aborted, abortErr := c.entry.claims.Abort(ctx, c.key, id)
 	if aborted {
 		return pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseOf(err), "call did not run")
--- a/internal/node/pwentry/entry.go
+++ b/internal/node/pwentry/entry.go
@@ -146,6 +146,9 @@
 	// callsCtx ends when EndRequests ends the running calls.
 	callsCtx  context.Context
 	stopCalls context.CancelCauseFunc
+	// abortsCtx ends when calls must get an answer although their claims are not aborted.
+	abortsCtx  context.Context
+	stopAborts context.CancelFunc
 }
 
 // service holds the document, router, queues and retry state of one service.
@@ -171,6 +174,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	callsCtx, stopCalls := context.WithCancelCause(ctx)
+	abortsCtx, stopAborts := context.WithCancel(context.Background())
 	return &Entry{
 		cfg:                   cfg,
 		agents:                deps.Agents,
@@ -189,6 +193,8 @@
 		endLifetime:           cancel,
 		callsCtx:              callsCtx,
 		stopCalls:             stopCalls,
+		abortsCtx:             abortsCtx,
+		stopAborts:            stopAborts,
 	}
 }
 
--- a/internal/node/pwentry/shutdown.go
+++ b/internal/node/pwentry/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
@@ -30,10 +31,18 @@
 // errStopped is the cause with which calls end when EndRequests is called.
 var errStopped = pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseDraining, "entry was stopped before the request had ended")
 
+// abortTimeDivisor bounds the time for the aborts of claims by a part of the time in which
+// the requests must end.
+const abortTimeDivisor = 2
+
 // EndRequests fails the requests and calls that still run after Shutdown, so that their
 // callers get an answer before the process ends. It waits until they have ended, and
-// returns the error of ctx if ctx ends first.
+// returns the error of ctx if ctx ends first. Half of the time until the deadline of ctx is
+// for the aborts of claims.
 func (e *Entry) EndRequests(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(deadline)/abortTimeDivisor, e.stopAborts).Stop()
+	}
 	e.stopCalls(errStopped)
 	e.mu.Lock()
 	running := slices.Collect(maps.Values(e.requests))
--- a/internal/node/pwprocess/shutdown_test.go
+++ b/internal/node/pwprocess/shutdown_test.go
@@ -180,6 +180,8 @@
 	follow := stopCall{method: http.MethodGet, path: "/v1/requests/FOREIGN/answer", opened: before}
 	for name, tc := range map[string]struct {
 		call stopCall
+		// slowStore is how long before the shutdown the store becomes slow; 0 means never.
+		slowStore time.Duration
 		// busy is set if another request runs until the end of the shutdown.
 		busy   bool
 		status int
@@ -207,6 +209,8 @@
 		"body that doesn't end":                {call: slow(post(chat, prompt(8, true)), never), status: 408, texts: []string{notRun}},
 		"body that doesn't end, busy":          {call: slow(post(chat, prompt(8, true)), never), busy: true, status: 408, texts: []string{notRun}},
 		"body that begins at the end":          {call: stopCall{method: http.MethodPost, path: chat, body: prompt(8, true), opened: 4 * time.Second, sentAt: 6500 * time.Millisecond, bodyTime: never}, busy: true, status: 408, texts: []string{notRun}},
+		"call that runs once, slow store":      {call: withKey(post(reserve, `{"item":"scaffold"}`), "k1"), slowStore: 500 * time.Millisecond, status: 503, texts: []string{mayRun, "draining"}},
+		"call that is claimed, slow store":     {call: withKey(post(reserve, `{"item":"scaffold"}`), "k1"), slowStore: 1500 * time.Millisecond, status: 503, texts: []string{notRun, "draining"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -230,7 +234,11 @@
 				tc.call.path = strings.Replace(tc.call.path, "FOREIGN", string(foreign.Request().ID()), 1)
 				answered := make(chan stopResult, 1)
 				go func() { answered <- f.run(tc.call) }()
-				time.Sleep(time.Until(f.startAt))
+				time.Sleep(time.Until(f.startAt) - tc.slowStore)
+				if tc.slowStore > 0 {
+					f.fleet.Table.SetLatency(time.Minute)
+				}
+				time.Sleep(tc.slowStore)
 				_ = f.process.shutdown(t.Context(), f.servers)
 				if d := time.Since(f.startAt); d > testShutdown {
 					t.Errorf("the shutdown took %s, allowed are %s", d, testShutdown)
