Refuse late bodies also when the handler sets a deadline of its own

What callers saw: a request that came in the last quarter of shutdown_ms, with a body that didn't end, could still get a closed connection. Cause: the deadline that ends the wait for its body was set by a goroutine of its own, and the handler could replace it with its minute; the server then read the rest of the body before it sent the 408. Change: each read after the end sets the deadline again.

--- a/internal/node/pwentry/http.go
+++ b/internal/node/pwentry/http.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
@@ -79,10 +78,9 @@
 			body := &stoppableBody{
 				ReadCloser: r.Body,
 				ctx:        a.entry.callsCtx,
+				controller: http.NewResponseController(w),
 			}
-			body.stop = context.AfterFunc(a.entry.callsCtx, func() {
-				_ = http.NewResponseController(w).SetReadDeadline(time.Now())
-			})
+			body.stop = context.AfterFunc(body.ctx, body.interrupt)
 			defer body.stop()
 			r.Body = body
 		}
@@ -103,14 +101,23 @@
 // requests.
 type stoppableBody struct {
 	io.ReadCloser
-	ctx  context.Context
-	stop func() bool
+	ctx        context.Context
+	controller *http.ResponseController
+	stop       func() bool
+}
+
+// interrupt makes reads fail that have to wait for data.
+func (b *stoppableBody) interrupt() {
+	// It only fails if the connection is closed.
+	_ = b.controller.SetReadDeadline(time.Now())
 }
 
 // Read implements io.Reader.
 func (b *stoppableBody) Read(p []byte) (int, error) {
 	if b.ctx.Err() != nil {
-		return 0, os.ErrDeadlineExceeded // the deadline may have been replaced
+		// The handler may have replaced the deadline. The server reads the rest of the body
+		// too before it sends a response.
+		b.interrupt()
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err != nil {
