--- a/internal/node/pwentry/http.go
+++ b/internal/node/pwentry/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -69,6 +70,20 @@
 	select {
 	case a.requestSlots <- struct{}{}:
 		defer func() { <-a.requestSlots }()
+		if a.entry.Draining() {
+			// The caller's next request should reach another entry.
+			w.Header().Set("Connection", "close")
+		}
+		if r.Body != http.NoBody {
+			body := &stoppableBody{
+				ReadCloser: r.Body,
+				ctx:        a.entry.callsCtx,
+				controller: http.NewResponseController(w),
+			}
+			body.stop = context.AfterFunc(body.ctx, body.interrupt)
+			defer body.stop()
+			r.Body = body
+		}
 		if _, pattern := a.mux.Handler(r); pattern == "" {
 			w = &problemWriter{
 				ResponseWriter: w,
@@ -82,6 +97,36 @@
 	}
 }
 
+// stoppableBody is the body of a request, whose arrival is awaited until the entry ends its
+// requests.
+type stoppableBody struct {
+	io.ReadCloser
+	ctx        context.Context
+	controller *http.ResponseController
+	stop       func() bool
+}
+
+// interrupt makes reads fail that have to wait for data.
+func (b *stoppableBody) interrupt() {
+	// It only fails if the connection is closed.
+	_ = b.controller.SetReadDeadline(time.Now())
+}
+
+// Read implements io.Reader.
+func (b *stoppableBody) Read(p []byte) (int, error) {
+	if b.ctx.Err() != nil {
+		// The handler may have replaced the deadline. The server reads the rest of the body
+		// too before it sends a response.
+		b.interrupt()
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		// A deadline that is set later would end the context of the request.
+		b.stop()
+	}
+	return n, err
+}
+
 // problemWriter replaces the plain-text error of http.ServeMux for an unknown path or
 // method with a problem document.
 type problemWriter struct {
