Reset connections without chunks whose stream is cut

Cause: an aborted handler closes the connection in an orderly way. Change: for callers without chunks the close becomes a reset. Result: TestCutStreamIsResetForCallersWithoutChunks, on loopback, failed before and passes now.

--- a/internal/node/pwgateway/caller.go
+++ b/internal/node/pwgateway/caller.go
@@ -47,3 +47,12 @@
 	})
 	return closed || err != nil
 }
+
+// resetOnClose makes the close of the caller's connection a reset. Without chunks, the end of
+// the connection would be that of a whole response.
+func resetOnClose(ctx context.Context) {
+	if c, ok := ctx.Value(callerConnKey{}).(*net.TCPConn); ok {
+		// The connection may be closed already.
+		_ = c.SetLinger(0)
+	}
+}
--- a/internal/node/pwgateway/caller_test.go
+++ b/internal/node/pwgateway/caller_test.go
@@ -1,6 +1,8 @@
 package pwgateway_test
 
 import (
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -81,3 +83,35 @@
 		})
 	}
 }
+
+// Guards against a stream that is cut and looks whole to callers without chunks, whose
+// streams end with the connection.
+func TestCutStreamIsResetForCallersWithoutChunks(t *testing.T) {
+	f := newFixture(t, map[string]*backend{
+		"model-1": newBackend(streamEvents(1, 3, "break")),
+	})
+	f.settleTime = 0 // this test runs on the wall clock
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{
+		Handler:     f.gateway,
+		ConnContext: pwgateway.WithCallerConn,
+		ErrorLog:    log.New(io.Discard, "", 0),
+	}
+	go func() { _ = srv.Serve(l) }()
+	defer func() { _ = srv.Close() }()
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeConn(c)
+	if _, err := io.WriteString(c, "POST /note/1 HTTP/1.0\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Milliseconds: 10000\r\n"+
+		"X-Token-Counts: 1000,100\r\nAuthorization: Bearer k1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if raw, err := io.ReadAll(c); err == nil {
+		t.Errorf("the caller got an orderly end after %q", raw)
+	}
+}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -445,6 +445,9 @@
 	}
 	if x.headWritten {
 		x.logOutcome("cut", err)
+		if !x.r.ProtoAtLeast(1, 1) {
+			resetOnClose(x.r.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 	var e *pwverdict.Error
