Close connections of a stopping gateway as they become idle

What callers saw: a stream that began before a stop doesn't announce it. When it ended, its connection stayed open for up to 20 ms, and a caller that went on at once was refused there, which took one of its retries. Cause: a stopping gateway looked for idle connections every 20 ms. Change: once the process no longer listens, a connection is closed as it becomes idle, after the response has been written. Result: TestStopClosesConnectionsAsTheyBecomeIdle failed before (20 ms).

--- a/internal/cli/pwgatewaycommand/connections.go
+++ b/internal/cli/pwgatewaycommand/connections.go
@@ -10,8 +10,7 @@
 	"github.com/apex/log"
 )
 
-// closePollInterval is how often a stopping process looks for connections that have become
-// idle.
+// closePollInterval is how often a stopping process looks whether connections are left.
 const closePollInterval = 20 * time.Millisecond
 
 // connTracker knows the states of the connections of an http.Server. Server.Shutdown can't
@@ -23,6 +22,8 @@
 	// closing holds the connections that drain closes. A request that has arrived on one in
 	// the meantime must not be passed on.
 	closing map[net.Conn]bool
+	// draining is set once connections are closed as they become idle.
+	draining bool
 	// dropped counts the requests that have arrived on such connections.
 	dropped int
 }
@@ -60,6 +61,17 @@
 		delete(t.closing, c)
 	default:
 		t.states[c] = state
+		t.closeIfIdle(c)
+	}
+}
+
+// closeIfIdle closes a connection that has become idle while connections are drained. The
+// caller holds mu.
+func (t *connTracker) closeIfIdle(c net.Conn) {
+	if t.draining && t.states[c] == http.StateIdle {
+		t.closing[c] = true
+		// The caller may have closed it.
+		_ = c.Close()
 	}
 }
 
@@ -107,19 +119,18 @@
 	}
 }
 
-// closeIdle closes the idle connections and returns the number of the others.
+// closeIdle closes the idle connections, also those that become idle later, and returns the
+// number of the others.
 func (t *connTracker) closeIdle() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.draining = true
 	others := 0
 	for c, state := range t.states {
 		if state != http.StateIdle {
 			others++
-			continue
 		}
-		t.closing[c] = true
-		// The caller may have closed it.
-		_ = c.Close()
+		t.closeIfIdle(c)
 	}
 	return others
 }
--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -141,11 +142,14 @@
 	}
 	pause := route("pause", pwcatalog.Streaming, "model")
 	pause.Target, pause.TargetGap = 300*time.Millisecond, 250*time.Millisecond
+	once := route("once", pwcatalog.Streaming, "model")
+	once.Resumable = false
 	f.process.gateway.SetCatalog(pwcatalog.New(pwcatalog.Spec{
 		Version: 1,
 		Routes: []pwcatalog.Route{
 			pause,
 			route("note", pwcatalog.Streaming, "model"),
+			once,
 			route("book", pwcatalog.Unsafe, "desk"),
 			route("view", pwcatalog.Safe, "desk"),
 		},
@@ -201,7 +205,7 @@
 		work := pathMillis(r.URL.Path)
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\n", id)
 		pauses := strings.HasPrefix(r.URL.Path, "/pause/")
-		if !pauses && !strings.HasPrefix(r.URL.Path, "/note/") {
+		if !pauses && !strings.HasPrefix(r.URL.Path, "/note/") && !strings.HasPrefix(r.URL.Path, "/once/") {
 			time.Sleep(work)
 			if _, err := io.WriteString(c, head+"Content-Length: 4\r\n\r\ndone"); err != nil {
 				return
@@ -362,6 +366,7 @@
 		"stream, late, known to be short":        {call: stopCall{path: "/note/400", opened: late, sentAt: 4 * time.Second, deadline: long}, known: "/note/300", status: 503},
 		"stream, late, longer than expected":     {call: stopCall{path: "/note/6000", opened: late, sentAt: 3 * time.Second, deadline: long}, known: "/note/300", status: 503},
 		"stream, late, deadline in the grace":    {call: stopCall{path: "/note/400", opened: late, sentAt: 4 * time.Second, deadline: 3 * time.Second}, status: 200, passedOn: true},
+		"stream that can't be resumed, late":     {call: stopCall{path: "/once/400", opened: late, sentAt: 4 * time.Second, deadline: long}, known: "/once/300", status: 503},
 		"stream, early, body ends late":          {call: stopCall{path: "/note/400", opened: before, sentAt: time.Second, bodyTime: 3 * time.Second, deadline: long}, known: "/note/300", status: 503},
 		"stream, in flight, server is silent":    {call: stopCall{path: "/pause/3000", opened: before, sentAt: before, deadline: long}, status: 200, passedOn: true},
 		"stream, early, known to be short":       {call: stopCall{path: "/note/3000", opened: before, sentAt: time.Second, deadline: long}, known: "/note/3000", status: 200, passedOn: true},
@@ -573,3 +578,59 @@
 		}
 	})
 }
+
+// Guards against a stopping process that leaves a connection open after a stream that began
+// before the stop: its caller would send the next request there, only to be refused.
+func TestStopClosesConnectionsAsTheyBecomeIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStopFixture(t)
+		f.startAt = time.Now().Add(2 * time.Second)
+		go f.shutdown()
+		time.Sleep(time.Until(f.startAt.Add(-time.Second)))
+		c, err := f.listener.Dial(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		br := bufio.NewReader(c)
+		if res := f.exchange(c, br, "a1", stopCall{
+			path:     "/note/5000",
+			deadline: 10 * time.Second,
+		}); res.status != http.StatusOK || !res.complete || res.closes {
+			t.Fatalf("the caller got %+v, want a whole stream that doesn't announce the stop", res)
+		}
+		synctest.Wait()
+		endedAt := time.Now()
+		if _, err := br.ReadByte(); !errors.Is(err, io.EOF) || time.Since(endedAt) > 0 {
+			t.Errorf("the connection ended after %s with %v, want an end at once", time.Since(endedAt), err)
+		}
+	})
+}
+
+// Guards against requests that arrive on a connection which is being closed and are passed
+// on, although they can't be answered any more.
+func TestRequestsOfClosingConnectionsAreDropped(t *testing.T) {
+	srv := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			t.Error("the request was passed on")
+		}),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return ctx },
+	}
+	conns := newConnTracker(srv)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conns.track(near, http.StateIdle)
+	if n := conns.closeIdle(); n != 0 {
+		t.Errorf("%d connections are left, want none", n)
+	}
+	defer func() {
+		if err, ok := recover().(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+			t.Errorf("the handler ended with %v, want an abort", err)
+		}
+		if conns.dropped != 1 {
+			t.Errorf("%d requests counted as dropped, want 1", conns.dropped)
+		}
+	}()
+	r := httptest.NewRequestWithContext(srv.ConnContext(t.Context(), near), http.MethodPost, "/", nil)
+	srv.Handler.ServeHTTP(httptest.NewRecorder(), r)
+}
