Log the panics of handlers of a gateway

Change: the HTTP servers of a gateway write their errors to its log, as those of entries and agents do; the writer moves to pwobserve. Result: TestPanicsOfHandlersAreLogged failed before and passes now.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -322,6 +322,7 @@
 		IdleTimeout:       defaultIdleTimeout,
 		MaxHeaderBytes:    defaultHeaderBytes,
 		ConnContext:       pwgateway.WithCallerConn,
+		ErrorLog:          p.obs.ErrorLog(),
 	}
 	if limits.IdleTimeout > 0 {
 		srv.IdleTimeout = limits.IdleTimeout
--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -634,3 +635,32 @@
 	r := httptest.NewRequestWithContext(srv.ConnContext(t.Context(), near), http.MethodPost, "/", nil)
 	srv.Handler.ServeHTTP(httptest.NewRecorder(), r)
 }
+
+// Guards against a handler that panics while a request runs and leaves no line in the log:
+// its caller sees a connection that ends without an answer.
+func TestPanicsOfHandlersAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var logged bytes.Buffer
+		p := &process{
+			obs:     pwobserve.New(&logged, "front-1", "hakata"),
+			gateway: pwgateway.New(pwgateway.Config{}, pwobserve.Discard()),
+		}
+		srv := p.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("out of order") }))
+		srv.ConnContext = nil
+		l := pwfakeplatform.NewPipeListener()
+		serve(srv, l, make(chan error, 1))
+		c, err := l.Dial(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, c) // ends with the connection
+		_ = srv.Close()
+		synctest.Wait()
+		if !strings.Contains(logged.String(), "out of order") {
+			t.Errorf("the log is %q, want the panic", logged.String())
+		}
+	})
+}
--- a/internal/node/pwprocess/process.go
+++ b/internal/node/pwprocess/process.go
@@ -14,10 +14,8 @@
 	"context"
 	"crypto/tls"
 	"io"
-	"log"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -263,18 +261,6 @@
 	return ln, nil
 }
 
-// errorLogWriter writes the error messages of an HTTP server, such as failed TLS
-// handshakes, to the structured log of the process instead of standard error.
-type errorLogWriter struct {
-	obs *pwobserve.Observer
-}
-
-// Write implements io.Writer. Each call writes one message.
-func (l errorLogWriter) Write(p []byte) (int, error) {
-	l.obs.Info("HTTP server", "detail", strings.TrimSpace(string(p)))
-	return len(p), nil
-}
-
 // httpServers runs an HTTP server for each endpoint of a process.
 type httpServers struct {
 	servers []*httpServer
@@ -341,7 +327,7 @@
 			listener: ln,
 			unused:   map[net.Conn]struct{}{},
 		}
-		srv.ErrorLog = log.New(errorLogWriter{obs}, "", 0)
+		srv.ErrorLog = obs.ErrorLog()
 		srv.ConnState = srv.track
 		s.servers = append(s.servers, srv)
 		obs.Info("listening", "address", ln.Addr().String())
