Wait for the end of the stop in a test

TestStopClosesConnectionsAsTheyBecomeIdle did not wait for the stop that it starts, so that its last log line raced with the end of the log.

--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -586,7 +586,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newStopFixture(t)
 		f.startAt = time.Now().Add(2 * time.Second)
-		go f.shutdown()
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			f.shutdown()
+		}()
+		defer func() { <-stopped }()
 		time.Sleep(time.Until(f.startAt.Add(-time.Second)))
 		c, err := f.listener.Dial(t.Context())
 		if err != nil {
