Follow the store at the pace of the newest settings

What callers saw: nothing yet. After a reload that shortens drain-ms or configuration-apply-ms, changes of servers and configurations were still collected for a part of the old time, so that a draining server could get requests for too long (DRAIN) or an old version stay (CONFIG). Cause: the delays of the followers came from the settings of the start. Change: a reload also sets the delays of the followers.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -451,6 +451,8 @@
 	p.bounds = d.Bounds
 	p.mu.Unlock()
 	p.gateway.SetBounds(d.Bounds)
+	p.operatorFollower.SetDelays(watchWait(d.Bounds), d.Bounds.ApplyTimeout/operatorBatchDivisor)
+	p.serverFollower.SetDelays(watchWait(d.Bounds), d.Bounds.DrainTimeout/serverBatchDivisor)
 	p.obs.LogEvent("reload", nil)
 }
 
--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -98,6 +98,8 @@
 			},
 		}, pwobserve.Discard()),
 	}
+	f.process.operatorFollower = pwcontrol.NewFollower[pwcontrol.OperatorRow](nil, pwcontrol.Config{}, pwobserve.Discard(), nil)
+	f.process.serverFollower = pwcontrol.NewFollower[pwcatalog.BackendServer](nil, pwcontrol.Config{}, pwobserve.Discard(), nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -116,6 +118,16 @@
 	return f
 }
 
+// writeSettings writes the settings file with the given lines beside the required ones.
+func (f *stopFixture) writeSettings(lines string) {
+	f.t.Helper()
+	const required = "node=front-1\nip-address=10.1.0.40\nplatform.address=10.2.0.1:80\nlisten-addresses.front=10.1.0.40:80\ninternal-ports=1,2\n"
+	f.process.settingsPath = filepath.Join(f.t.TempDir(), "settings.conf")
+	if err := os.WriteFile(f.process.settingsPath, []byte(required+lines), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func (f *stopFixture) configure() {
 	engine := pwfakecatalog.Engine()
 	route := func(name string, kind pwcatalog.Kind, service string) pwcatalog.Route {
@@ -507,11 +519,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				f := newStopFixture(t)
 				f.grace = tc.grace
-				f.process.settingsPath = filepath.Join(t.TempDir(), "settings.conf")
-				lines := "node=front-1\nip-address=10.1.0.40\nplatform.address=10.2.0.1:80\nlisten-addresses.front=10.1.0.40:80\ninternal-ports=1,2\n" + tc.settings
-				if err := os.WriteFile(f.process.settingsPath, []byte(lines), 0o600); err != nil {
-					t.Fatal(err)
-				}
+				f.writeSettings(tc.settings)
 				f.startAt = time.Now().Add(20 * time.Second)
 				stopped := make(chan struct{})
 				go func() {
--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -213,11 +213,13 @@
 	// clock adjustment has no effect. It is 0 before the first response.
 	startTime   time.Time
 	lastContact atomic.Int64
+	// wait and batchDelay are the values of cfg, or those that SetDelays has set.
+	wait, batchDelay atomic.Int64
 }
 
 // NewFollower returns a follower that reads source and passes changes to apply.
 func NewFollower[T any](source Source[T], cfg Config, obs *pwobserve.Observer, apply ApplyFunc[T]) *Follower[T] {
-	return &Follower[T]{
+	f := &Follower[T]{
 		cfg:         cfg.withDefaults(),
 		source:      source,
 		obs:         obs,
@@ -227,6 +229,17 @@
 		liveKeys:    make(map[string]bool),
 		unconfirmed: make(map[string]time.Time),
 	}
+	f.SetDelays(f.cfg.Wait, f.cfg.BatchDelay)
+	return f
+}
+
+// SetDelays replaces the Wait and the BatchDelay of the Config. Zero values stand for their
+// defaults.
+func (f *Follower[T]) SetDelays(wait, batchDelay time.Duration) {
+	pwdefault.SetUnlessPositive(&wait, DefaultWait)
+	pwdefault.SetUnlessPositive(&batchDelay, DefaultBatchDelay)
+	f.wait.Store(int64(wait))
+	f.batchDelay.Store(int64(batchDelay))
 }
 
 // LastContact returns when the store last responded, or the zero time if it has not
@@ -277,7 +290,7 @@
 	if !f.hasListing {
 		return f.list(ctx)
 	}
-	wait := f.cfg.Wait
+	wait := time.Duration(f.wait.Load())
 	for _, until := range f.unconfirmed {
 		wait = max(0, min(wait, time.Until(until)))
 	}
@@ -304,7 +317,7 @@
 	f.version = max(f.version, snap.Version)
 	f.removeUnconfirmed()
 	if len(snap.Items) > 0 {
-		sleep(ctx, f.cfg.BatchDelay)
+		sleep(ctx, time.Duration(f.batchDelay.Load()))
 	}
 	return nil
 }
