Remove stopped processes from the instance list for good

Cause: a stopping process removed its row, but the loop that renews it went on until the process ended, found the row missing and wrote it again. Change: the loop ends before the row is removed. Both happen while the process finishes its requests, so a slow store doesn't delay the refusal of new ones any more.

--- a/internal/node/pwprocess/agent.go
+++ b/internal/node/pwprocess/agent.go
@@ -19,7 +19,6 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeer"
-	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsettings"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwclaim"
@@ -71,13 +70,14 @@
 	if tlsCfg.certWatcher != nil {
 		bg.start(tlsCfg.certWatcher.Run)
 	}
-	directory := do.MustInvoke[*pwpeering.Directory](i)
-	bg.start(directory.Run)
+	registered := newBackgroundTasks(ctx)
+	defer registered.stop()
+	registered.start(newRegistration(i).run)
 	bg.start(proc.node.Run)
 	bg.start(proc.agent.Run)
 	bg.start(proc.loop)
 	<-ctx.Done()
-	deregister(ctx, directory, proc.obs)
+	registered.cancel()
 	return proc.shutdown(ctx, srv)
 }
 
--- a/internal/node/pwprocess/entry.go
+++ b/internal/node/pwprocess/entry.go
@@ -19,7 +19,6 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwoperator"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeer"
-	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsecurity"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsettings"
@@ -91,14 +90,15 @@
 	if tlsCfg.certWatcher != nil {
 		bg.start(tlsCfg.certWatcher.Run)
 	}
-	directory := do.MustInvoke[*pwpeering.Directory](i)
-	bg.start(directory.Run)
+	registered := newBackgroundTasks(ctx)
+	defer registered.stop()
+	registered.start(newRegistration(i).run)
 	bg.start(proc.node.Run)
 	bg.start(proc.entry.Run)
 	bg.start(proc.loop)
 	bg.start(duties.Run)
 	<-ctx.Done()
-	deregister(ctx, directory, proc.obs)
+	registered.cancel()
 	return proc.shutdown(ctx, srv)
 }
 
--- a/internal/node/pwprocess/process.go
+++ b/internal/node/pwprocess/process.go
@@ -416,11 +416,26 @@
 // store.
 const deregisterTimeout = time.Second
 
-// deregister removes this process from the instance list.
-func deregister(ctx context.Context, d *pwpeering.Directory, obs *pwobserve.Observer) {
+// registration keeps this process in the instance list.
+type registration struct {
+	directory *pwpeering.Directory
+	obs       *pwobserve.Observer
+}
+
+func newRegistration(i do.Injector) *registration {
+	return &registration{
+		directory: do.MustInvoke[*pwpeering.Directory](i),
+		obs:       do.MustInvoke[*pwobserve.Observer](i),
+	}
+}
+
+// run returns when ctx has ended and the process was removed from the list. It removes it when
+// nothing can add it again.
+func (r *registration) run(ctx context.Context) {
+	r.directory.Run(ctx)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 	defer cancel()
-	if err := d.Deregister(ctx); err != nil {
-		obs.Warn("instance could not be removed from the instance list; its row stays until its retention ends", err)
+	if err := r.directory.Deregister(ctx); err != nil {
+		r.obs.Warn("instance could not be removed from the instance list; its row stays until its retention ends", err)
 	}
 }
--- a/internal/node/pwprocess/shutdown_test.go
+++ b/internal/node/pwprocess/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,8 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsettings"
+	"github.com/pomeloweir/pomeloweir/internal/state/pwdocument"
+	"github.com/pomeloweir/pomeloweir/platform"
 )
 
 const (
@@ -263,3 +266,103 @@
 		})
 	}
 }
+
+// Guards against a stopping process that lists itself again, so that others send it work
+// after its end.
+func TestStoppedProcessIsNotListed(t *testing.T) {
+	const (
+		request   = "POST /pomeloweir.v1.%s HTTP/1.1\r\nHost: p\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
+		storeTime = 150 * time.Second
+	)
+	for name, tc := range map[string]struct {
+		run func(context.Context, *pwsettings.Settings, Platform, Listeners, io.Writer) error
+		// request keeps the process from ending.
+		request string
+		listed  int
+	}{
+		"entry, body not complete": {run: RunEntry, request: fmt.Sprintf(request, "PeerService/Exchange", 9, "")},
+		"agent, body not complete": {run: RunAgent, request: fmt.Sprintf(request, "PeerService/Exchange", 9, "")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := pwfakeplatform.NewPipeServer(pwfakeplatform.NewStore())
+				defer store.Close()
+				table := platform.NewInstanceTable(platform.NewStoreClientWithHTTP(store.Client()))
+				listeners := Listeners{
+					Callers: pwfakeplatform.NewPipeListener(),
+					Peers:   pwfakeplatform.NewPipeListener(),
+				}
+				listed := func() int {
+					snap, err := table.List(t.Context())
+					if err != nil {
+						t.Fatal(err)
+					}
+					for _, it := range snap.Items {
+						if it.Err != nil {
+							t.Fatal(it.Err)
+						}
+					}
+					return len(snap.Items)
+				}
+				settings := &pwsettings.Settings{
+					Instance:   "p-1",
+					DataCentre: "hakata",
+					Listen: pwsettings.Listen{
+						Advertise: "10.1.0.1:8444",
+					},
+					Entry: &pwsettings.Entry{
+						ShutdownMS: time.Hour.Milliseconds(),
+					},
+					Agent: &pwsettings.Agent{
+						BackendServer: "crew-00",
+						Service:       "crew",
+						Kind:          pwdocument.KindPlain,
+						URL:           "http://127.0.0.1:1",
+						ShutdownMS:    time.Hour.Milliseconds(),
+					},
+				}
+				claims := pwfakeplatform.NewTable()
+				ctx, stop := context.WithCancel(t.Context())
+				ended := make(chan error, 1)
+				go func() {
+					ended <- tc.run(ctx, settings, Platform{
+						Table:         claims,
+						InstanceTable: table,
+					}, listeners, io.Discard)
+				}()
+				time.Sleep(20 * time.Second)
+				if listed() != 1 {
+					t.Fatal("the process isn't listed")
+				}
+				claims.SetLatency(storeTime)
+				c, err := listeners.Peers.(*pwfakeplatform.PipeListener).Dial(t.Context())
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = c.Close() }()
+				if _, err := io.WriteString(c, tc.request); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				stop()
+				for range 12 {
+					time.Sleep(10 * time.Second)
+					if n := listed(); n != tc.listed {
+						t.Errorf("the list has %d rows of the stopping process, want %d", n, tc.listed)
+					}
+				}
+				select {
+				case err := <-ended:
+					t.Fatalf("the process has ended: %v", err)
+				default:
+				}
+				if tc.listed == 0 {
+					_ = c.Close()
+				}
+				if err := <-ended; err != nil || listed() != 0 {
+					t.Errorf("the process ended with error %v and %d rows", err, listed())
+				}
+			})
+		})
+	}
+}
