Keep a stopping agent in the instance list until its work has ended

What callers saw: a very long prompt that uses several engines lost the part on the server of a stopping agent after some 10 s, although shutdown_ms is an hour by default. It started that part again elsewhere, or waited until the server came back or its deadline had passed. Cause: a stopping agent left the list first. Entries stop watching agents that aren't listed, the watch carries the heartbeats, and without them an agent gives up the memory of group members after 10 s. "agent, call has not ended" of TestStoppedProcessIsNotListed failed. Change: the row is removed when the running work has ended. The agent's load reports tell entries at once that it takes no new work. Result: the test passes.

--- a/internal/node/pwprocess/agent.go
+++ b/internal/node/pwprocess/agent.go
@@ -77,8 +77,7 @@
 	bg.start(proc.agent.Run)
 	bg.start(proc.loop)
 	<-ctx.Done()
-	registered.cancel()
-	return proc.shutdown(ctx, srv)
+	return proc.shutdown(ctx, srv, registered.cancel)
 }
 
 // handler serves the RPC services of the agent and its metrics.
@@ -102,12 +101,15 @@
 	return mux
 }
 
-// shutdown waits until running work has ended before it closes the server.
-func (p *agentProcess) shutdown(ctx context.Context, srv *httpServers) error {
+// shutdown waits until running work has ended before it removes the agent from the instance
+// list and closes the server. Entries send heartbeats to listed agents only, and without them
+// the agent would give up the memory of group members.
+func (p *agentProcess) shutdown(ctx context.Context, srv *httpServers, deregister func()) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.settings.Agent.ShutdownTimeout())
 	defer cancel()
 	p.obs.Info("shutting down")
 	err := p.agent.Shutdown(ctx)
+	deregister()
 	srv.stop(ctx)
 	return err
 }
--- a/internal/node/pwprocess/shutdown_test.go
+++ b/internal/node/pwprocess/shutdown_test.go
@@ -268,10 +268,12 @@
 }
 
 // Guards against a stopping process that lists itself again, so that others send it work
-// after its end.
+// after its end, and a stopping agent that gives up group members because entries, which don't
+// find it in the list, send no heartbeats.
 func TestStoppedProcessIsNotListed(t *testing.T) {
 	const (
 		request   = "POST /pomeloweir.v1.%s HTTP/1.1\r\nHost: p\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s"
+		callOnce  = `{"requestId":"r","attemptId":"a","workspace":"demo","service":"crew","method":"reserve","claimKey":"k","deadlineUnixMs":"4102444800000"}`
 		storeTime = 150 * time.Second
 	)
 	for name, tc := range map[string]struct {
@@ -280,8 +282,9 @@
 		request string
 		listed  int
 	}{
-		"entry, body not complete": {run: RunEntry, request: fmt.Sprintf(request, "PeerService/Exchange", 9, "")},
-		"agent, body not complete": {run: RunAgent, request: fmt.Sprintf(request, "PeerService/Exchange", 9, "")},
+		"entry, body not complete":  {run: RunEntry, request: fmt.Sprintf(request, "PeerService/Exchange", 9, "")},
+		"agent, body not complete":  {run: RunAgent, request: fmt.Sprintf(request, "PeerService/Exchange", 9, "")},
+		"agent, call has not ended": {run: RunAgent, request: fmt.Sprintf(request, "AgentService/Call", len(callOnce), callOnce), listed: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
