Keep may_have_run when a repeatable call finds no server any more

What callers saw: not_run for a repeatable call that had run. Its agent was stopped while it ran, and the next attempt found no server. Cause: the error of the last attempt was returned, whose verdict concerns that attempt alone. Prompts were right already. Evidence: "call that is repeated" of TestStoppedAgentCutsNoCaller failed with no_candidate and not_run; the service had been called once. Change: the verdict concerns all attempts of the call. Result: the test passes. Its other cases passed on the old code too: when its agent ends, a whole answer and a stream go on at the next agent without a gap, a call that runs once gets may_have_run, a repeat of it runs nothing and is not told not_run, and what ends in the grace is answered.

--- a/internal/node/pwentry/call.go
+++ b/internal/node/pwentry/call.go
@@ -146,11 +146,19 @@
 }
 
 // runRepeatable retries a call until it succeeds, within its deadline, the limit on
-// attempts and the retry budget.
+// attempts and the retry budget. The verdict of its error concerns all attempts.
 func (c *callRun) runRepeatable(ctx context.Context) (CallResult, error) {
+	mayHaveRun := false
 	for n := 1; ; n++ {
 		res, err := c.sendAttempt(ctx, newAttemptID(), "")
-		if err == nil || !c.waitForRetry(ctx, n, err, true) {
+		switch notRun := pwverdict.VerdictOf(err) == pwverdict.NotRun; {
+		case err == nil:
+			return res, nil
+		case c.waitForRetry(ctx, n, err, true):
+			mayHaveRun = mayHaveRun || !notRun
+		case mayHaveRun && notRun:
+			return res, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseOf(err), "call was stopped after an attempt that may have run")
+		default:
 			return res, err
 		}
 	}
--- a/internal/node/pwentry/shutdown_test.go
+++ b/internal/node/pwentry/shutdown_test.go
@@ -78,3 +78,83 @@
 		})
 	}
 }
+
+// Guards against streams and whole answers that end with the agent which generates them, and
+// against calls that run twice, or are said not to have run, because an agent is stopped.
+func TestStoppedAgentCutsNoCaller(t *testing.T) {
+	const (
+		prompt = `{"model":"` + pwfakefleet.Model + `","max_tokens":400,"stream":STREAM,"messages":[{"role":"user","content":"a question"}]}`
+		call   = "/v1/services/" + pwfakefleet.PlainService + "/methods/"
+		slow   = time.Minute
+	)
+	for name, tc := range map[string]struct {
+		path, body, key string
+		// grace is how long the agents wait for running work.
+		grace  time.Duration
+		status int
+		texts  []string
+		// runs is how often the plain service must have run the call.
+		runs int
+	}{
+		"prompt, whole answer":          {path: "/v1/chat/completions", body: strings.Replace(prompt, "STREAM", "false", 1), grace: 3 * time.Second, status: http.StatusOK, texts: []string{`"completion_tokens":400`}},
+		"prompt, stream":                {path: "/v1/chat/completions", body: strings.Replace(prompt, "STREAM", "true", 1), grace: 3 * time.Second, status: http.StatusOK, texts: []string{"id: 400\n", `"finish_reason":"length"`, "[DONE]"}},
+		"prompt, ends in the grace":     {path: "/v1/chat/completions", body: strings.Replace(prompt, "STREAM", "true", 1), grace: slow, status: http.StatusOK, texts: []string{"id: 400\n", `"finish_reason":"length"`, "[DONE]"}},
+		"call that runs once":           {path: call + pwfakeservice.MethodReserve, body: `{"item":"scaffold"}`, key: "k1", grace: 3 * time.Second, status: http.StatusServiceUnavailable, texts: []string{`"verdict":"may_have_run"`}, runs: 1},
+		"call that runs once, in grace": {path: call + pwfakeservice.MethodReserve, body: `{"item":"scaffold"}`, key: "k1", grace: 2 * slow, status: http.StatusOK, runs: 1},
+		"call that is repeated":         {path: call + pwfakeservice.MethodList, body: `{}`, grace: 3 * time.Second, status: http.StatusServiceUnavailable, texts: []string{`"verdict":"may_have_run"`}, runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newSmallFleet(t)
+				defer func() {
+					fleet.Close()
+					time.Sleep(2 * slow)
+				}()
+				fleet.Service.SetDelay(slow)
+				fleet.Service.SetFault(pwfakeservice.FaultSlow, 1)
+				api := pwentry.NewAPI(fleet.Entry(0))
+				send := func() *httptest.ResponseRecorder {
+					w := httptest.NewRecorder()
+					r := newDemoRequest(t.Context(), tc.path, tc.body)
+					r.Header.Set("Pomeloweir-Deadline-Ms", "3000000")
+					if tc.key != "" {
+						r.Header.Set("Idempotency-Key", tc.key)
+					}
+					api.ServeHTTP(w, r)
+					return w
+				}
+				go func() {
+					time.Sleep(2 * time.Second)
+					for _, id := range fleet.ServerIDs() {
+						ctx, cancel := context.WithTimeout(t.Context(), tc.grace)
+						if fleet.Agent(id).Shutdown(ctx) == nil {
+							time.Sleep(time.Second) // the last answers arrive
+						}
+						cancel()
+						fleet.KillAgent(id)
+						time.Sleep(time.Second)
+						fleet.RestartAgent(id)
+					}
+				}()
+				w := send()
+				if w.Code != tc.status {
+					t.Errorf("the caller got %d, want %d: %.300s", w.Code, tc.status, w.Body)
+				}
+				for _, text := range tc.texts {
+					if !strings.Contains(w.Body.String(), text) {
+						t.Errorf("the answer lacks %s: %s", text, w.Body)
+					}
+				}
+				time.Sleep(2 * slow)
+				if tc.key != "" {
+					if w := send(); strings.Contains(w.Body.String(), "not_run") {
+						t.Errorf("the repeat got %s", w.Body)
+					}
+				}
+				if n := fleet.Service.Calls(); n != tc.runs {
+					t.Errorf("the service was called %d times, want %d", n, tc.runs)
+				}
+			})
+		})
+	}
+}
