Show that a stopping entry ends HTTP/2 connections too

TestStoppingEntryEndsHTTP2Connections does so: the caller opens a new connection for its next request.

--- a/internal/node/pwentry/shutdown_test.go
+++ b/internal/node/pwentry/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,8 +11,10 @@
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakefleet"
+	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeplatform"
 	"github.com/pomeloweir/pomeloweir/internal/fake/pwfakeservice"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwtransport"
 )
 
 // Guards against requests and calls that are cut without an answer when the shutdown of an
@@ -158,3 +161,38 @@
 		})
 	}
 }
+
+// Guards against callers that keep their HTTP/2 connection to a stopping entry, and so never
+// reach another one.
+func TestStoppingEntryEndsHTTP2Connections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newSmallFleet(t)
+		defer fleet.Close()
+		srv := pwtransport.NewServer(pwentry.NewAPI(fleet.Entry(0)), nil)
+		l := pwfakeplatform.NewPipeListener()
+		go func() { _ = pwtransport.Serve(srv, l) }()
+		defer func() { _ = srv.Close() }()
+		client, dials := pwtransport.NewClient(nil), 0
+		client.Transport.(*http.Transport).DialContext = func(ctx context.Context, _, _ string) (net.Conn, error) {
+			dials++
+			return l.Dial(ctx)
+		}
+		defer client.CloseIdleConnections()
+		for n, want := range []int{1, 1, 1, 2, 3} {
+			if n == 2 {
+				if err := fleet.Entry(0).Shutdown(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			resp, err := client.Get("http://entry/readyz")
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			time.Sleep(2 * time.Second)
+			if dials != want {
+				t.Errorf("%d connections after request %d (status %d), want %d", dials, n+1, resp.StatusCode, want)
+			}
+		}
+	})
+}
