--- a/internal/node/pwprocess/agent.go
+++ b/internal/node/pwprocess/agent.go
@@ -19,7 +19,6 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwentry"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeer"
-	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwsettings"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwclaim"
@@ -71,14 +70,14 @@
 	if tlsCfg.certWatcher != nil {
 		bg.start(tlsCfg.certWatcher.Run)
 	}
-	directory := do.MustInvoke[*pwpeering.Directory](i)
-	bg.start(directory.Run)
+	registered := newBackgroundTasks(ctx)
+	defer registered.stop()
+	registered.start(newRegistration(i).run)
 	bg.start(proc.node.Run)
 	bg.start(proc.agent.Run)
 	bg.start(proc.loop)
 	<-ctx.Done()
-	deregister(ctx, directory, proc.obs)
-	return proc.shutdown(ctx, srv)
+	return proc.shutdown(ctx, srv, registered.cancel)
 }
 
 // handler serves the RPC services of the agent and its metrics.
@@ -102,12 +101,15 @@
 	return mux
 }
 
-// shutdown waits until running work has ended before it closes the server.
-func (p *agentProcess) shutdown(ctx context.Context, srv *httpServers) error {
+// shutdown waits until running work has ended before it removes the agent from the instance
+// list and closes the server. Entries send heartbeats to listed agents only, and without them
+// the agent would give up the memory of group members.
+func (p *agentProcess) shutdown(ctx context.Context, srv *httpServers, deregister func()) error {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), p.settings.Agent.ShutdownTimeout())
 	defer cancel()
 	p.obs.Info("shutting down")
 	err := p.agent.Shutdown(ctx)
+	deregister()
 	srv.stop(ctx)
 	return err
 }
