Give each run of the soak its own loopback address

Cause: a process that is restarted in a planned stop holds its caller port neither from the end of listening to its exit nor while it starts. Change: each run takes a random address of 127.0.0.0/8 for its processes. The check of the restart stays as it is.

--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -132,7 +132,10 @@
 	servers      map[string]*backend
 	storeAddress string
 	common       *conditions
-	takenPorts   map[int]bool
+	// host is the loopback address of the processes. Each run has one of its own, because a
+	// process that is restarted does not hold its ports all the time.
+	host       string
+	takenPorts map[int]bool
 	// version is the version of the newest configuration.
 	version atomic.Int64
 	// stopping is the planned stop of an entry, or nil.
@@ -159,12 +162,14 @@
 		opts.Entries = defaultEntries
 	}
 	return &soak{
-		opts:       opts,
-		rng:        rand.New(rand.NewPCG(opts.Seed, 1)),
-		store:      pwfakeplatform.NewStore(),
-		runs:       newRunCounter(),
-		servers:    make(map[string]*backend),
-		common:     &conditions{},
+		opts:    opts,
+		rng:     rand.New(rand.NewPCG(opts.Seed, 1)),
+		store:   pwfakeplatform.NewStore(),
+		runs:    newRunCounter(),
+		servers: make(map[string]*backend),
+		common:  &conditions{},
+		host:    fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)),
+
 		takenPorts: make(map[int]bool),
 	}
 }
@@ -331,12 +336,11 @@
 
 // freePorts returns n ports that are free for TCP and UDP. They are below the range from
 // which the kernel takes the ports of outgoing connections, which would collide with them.
-// Another run may still take one before it is used.
 func (s *soak) freePorts(ctx context.Context, n int) ([]int, error) {
 	var ports []int
 	for range maxPortTries {
 		port := firstPort + rand.IntN(portCount)
-		if s.takenPorts[port] || !isPortFree(ctx, port) {
+		if s.takenPorts[port] || !isPortFree(ctx, s.address(port)) {
 			continue
 		}
 		s.takenPorts[port] = true
@@ -347,8 +351,10 @@
 	return nil, fmt.Errorf("no %d free ports found in %d tries", n, maxPortTries)
 }
 
-func isPortFree(ctx context.Context, port int) bool {
-	address := fmt.Sprintf("127.0.0.1:%d", port)
+// address returns the address of a port of the processes.
+func (s *soak) address(port int) string { return net.JoinHostPort(s.host, strconv.Itoa(port)) }
+
+func isPortFree(ctx context.Context, address string) bool {
 	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp4", address)
 	if err != nil {
 		return false
@@ -370,10 +376,10 @@
 		if err != nil {
 			return err
 		}
-		e.callerAddress, e.readinessAddress = fmt.Sprintf("127.0.0.1:%d", ports[0]), fmt.Sprintf("127.0.0.1:%d", ports[1])
-		settings := fmt.Sprintf("node=entry-%d\nzone=a\nip-address=127.0.0.1\nlisten-addresses.front=%s\nlisten-addresses.ready=%s\n"+
+		e.callerAddress, e.readinessAddress = s.address(ports[0]), s.address(ports[1])
+		settings := fmt.Sprintf("node=entry-%d\nzone=a\nip-address=%s\nlisten-addresses.front=%s\nlisten-addresses.ready=%s\n"+
 			"internal-ports=%d,%d\nplatform.address=%s\nlimits.memory-mb=256\nbounds.grace-s=%d\n",
-			e.index, e.callerAddress, e.readinessAddress, ports[2], ports[2], s.storeAddress, int(shutdownGrace.Seconds()))
+			e.index, s.host, e.callerAddress, e.readinessAddress, ports[2], ports[2], s.storeAddress, int(shutdownGrace.Seconds()))
 		if err := os.WriteFile(filepath.Join(e.dir, "settings.conf"), []byte(settings), 0o600); err != nil {
 			return err
 		}
