Run the seeds of the soak several at a time

Change: each seed is a parallel subtest, and -soak.parallel (3) bounds how many run at a time. A seed's faults and requests depend on the seed alone, as before.

--- a/internal/fake/pwsoak/soak_test.go
+++ b/internal/fake/pwsoak/soak_test.go
@@ -3,9 +3,11 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 )
@@ -14,6 +16,7 @@
 	seedCount    = flag.Int("soak.seeds", 4, "number of seeds to run")
 	firstSeed    = flag.Uint64("soak.first", 1000, "first seed")
 	faultSeconds = flag.Int("soak.seconds", 5, "seconds of faults for each seed")
+	parallel     = flag.Int("soak.parallel", 3, "number of seeds that run at a time")
 	entryCount   = flag.Int("soak.entries", 0, "number of processes; 0 for the default")
 	keptDir      = flag.String("soak.dir", "", "directory that keeps the logs of the processes; default a temporary one")
 )
@@ -42,36 +45,41 @@
 		dir = t.TempDir()
 	}
 	binary := buildBinary(t)
-	runSeed := func(seed uint64) {
-		logs := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
-		if err := os.MkdirAll(logs, 0o755); err != nil {
-			t.Fatal(err)
-		}
-		rep, err := Run(t.Context(), Options{
-			Binary:        binary,
-			Seed:          seed,
-			FaultDuration: time.Duration(*faultSeconds) * time.Second,
-			WorkDir:       logs,
-			Entries:       *entryCount,
-		})
-		if err != nil {
-			t.Fatalf("seed %d: %v", seed, err)
-		}
-		t.Logf("seed %d: %d sent, %d served, %d refused, %d failed; faults: %q", seed, rep.Sent, rep.Served, rep.Refused, rep.Failed, rep.Faults)
-		for _, b := range rep.Violations {
-			t.Errorf("seed %d: %s", seed, b)
-		}
-		if rep.Served == 0 {
-			t.Errorf("seed %d: no request was served", seed)
-		}
-		if rep.UnservedAfterRecovery > 0 {
-			t.Errorf("seed %d: %d requests were refused or failed after recovery", seed, rep.UnservedAfterRecovery)
-		}
-	}
-	for seed := range regressions {
-		runSeed(seed)
-	}
+	seeds := slices.Collect(maps.Keys(regressions))
 	for i := range *seedCount {
-		runSeed(*firstSeed + uint64(i))
+		seeds = append(seeds, *firstSeed+uint64(i))
+	}
+	// Further seeds would only wait for the processor.
+	running := make(chan struct{}, *parallel)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
+			logs := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
+			if err := os.MkdirAll(logs, 0o755); err != nil {
+				t.Fatal(err)
+			}
+			rep, err := Run(t.Context(), Options{
+				Binary:        binary,
+				Seed:          seed,
+				FaultDuration: time.Duration(*faultSeconds) * time.Second,
+				WorkDir:       logs,
+				Entries:       *entryCount,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d sent, %d served, %d refused, %d failed; faults: %q", rep.Sent, rep.Served, rep.Refused, rep.Failed, rep.Faults)
+			for _, b := range rep.Violations {
+				t.Error(b)
+			}
+			if rep.Served == 0 {
+				t.Error("no request was served")
+			}
+			if rep.UnservedAfterRecovery > 0 {
+				t.Errorf("%d requests were refused or failed after recovery", rep.UnservedAfterRecovery)
+			}
+		})
 	}
 }
