Stop real processes after their settings file has changed

Cause: no test on real processes changes grace-s, though the platform kills a process at the grace that its settings file states. Change: TestPlannedStopUsesChangedGrace replaces grace-s (5 s) by 3 s and by 8 s, without a signal, 0.3 s before the stop, under streams that last 5.4 s. Both planned-stop tests share the start of one entry.

--- a/internal/fake/pwsoak/plannedstop_test.go
+++ b/internal/fake/pwsoak/plannedstop_test.go
@@ -79,3 +79,21 @@
 	// Each stream lasts longer than what is left when it comes.
 	p.stopUnderStreams(ctx, 8, 150, earlyPeriod+75*time.Millisecond, 75*time.Millisecond)
 }
+
+// Guards against a stop that goes by the grace of the start although the settings file has
+// changed without a signal: streams are cut too soon, or the process outlives the grace.
+func TestPlannedStopUsesChangedGrace(t *testing.T) {
+	t.Parallel()
+	for _, grace := range []time.Duration{3 * time.Second, 8 * time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			t.Parallel()
+			s, ctx := startedEntry(t)
+			p := s.planStop(s.entries[0], time.Now().Add(300*time.Millisecond), grace)
+			if err := s.entries[0].writeSettings(grace, drainTimeout); err != nil {
+				t.Fatal(err)
+			}
+			// The streams of the longer grace end before its last part.
+			p.stopUnderStreams(ctx, 4, 350, -200*time.Millisecond, 50*time.Millisecond)
+		})
+	}
+}
