Use long streams and calls on entries that are not stopped

Cause: the entries that serve during the stops of others got only streams of 120 ms and calls of 35 ms, which a signal or a new configuration can hardly cut. Change: the callers that keep connections use these entries too, until the changes end.

--- a/internal/fake/pwsoak/plannedstop.go
+++ b/internal/fake/pwsoak/plannedstop.go
@@ -33,7 +33,8 @@
 	lastPart    = 1.0 / 6
 	// notReadyAfter is the time after which a stopping process must not be ready.
 	notReadyAfter = time.Second
-	// maxStops is the largest number of entries that are stopped.
+	// maxStops is the largest number of entries that are stopped, and of those whose open
+	// connections are used.
 	maxStops = 8
 	// Streams have minEvents to maxEvents, and calls take minWork to maxWork milliseconds.
 	minEvents = 3
@@ -70,22 +71,23 @@
 	stalled := s.server(modelServers + s.rng.IntN(deskServers))
 	stalled.proxy.setStalled(true)
 	defer stalled.proxy.setStalled(false)
-	for _, e := range s.entries {
-		s.planStop(e, time.Time{}, 0)
-	}
 	beganAt := time.Now().Add(keptBefore + lateBefore)
 	stagger := time.Duration(s.rng.IntN(3)) * shutdownGrace / 4
 	n := 1 + s.rng.IntN(min(maxStops, len(s.entries)))
+	changes, cancel := context.WithTimeout(ctx, time.Duration(n-1)*stagger+shutdownGrace)
+	defer cancel()
 	var wg sync.WaitGroup
-	for i, k := range s.rng.Perm(len(s.entries))[:n] {
-		p := s.planStop(s.entries[k], beganAt.Add(time.Duration(i)*stagger), shutdownGrace)
-		wg.Go(func() { p.run(ctx) })
+	defer wg.Wait()
+	for i, k := range s.rng.Perm(len(s.entries)) {
+		e := s.entries[k]
+		if i < n {
+			p := s.planStop(e, beganAt.Add(time.Duration(i)*stagger), shutdownGrace)
+			wg.Go(func() { p.run(ctx) })
+		} else if p := s.planStop(e, time.Time{}, 0); i < maxStops {
+			wg.Go(func() { p.run(changes) })
+		}
 	}
-	changes, cancel := context.WithCancel(ctx)
 	wg.Go(func() { s.changePlans(changes) })
-	time.AfterFunc(time.Duration(n-1)*stagger+shutdownGrace, cancel)
-	wg.Wait()
-	cancel()
 }
 
 // changePlans writes configurations and settings and signals entries that are ready, at
@@ -123,7 +125,8 @@
 	return p
 }
 
-// run lets callers use the entry from now on and stops it when it is time.
+// run lets callers use the entry from now on and stops it when it is time. If it is not to be
+// stopped, they use it until ctx ends.
 func (p *plannedStop) run(ctx context.Context) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -134,6 +137,9 @@
 		}
 	}
 	start(keptCallers, 300, p.runKeptCaller)
+	if p.beganAt.IsZero() {
+		return
+	}
 	sleep(ctx, time.Until(p.beganAt.Add(-lateBefore)))
 	start(lateCallers, 200, p.runLateCaller)
 	p.stop(ctx, rand.New(rand.NewPCG(p.soak.opts.Seed, uint64(400+1000*p.entry.index))))
@@ -227,7 +233,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
-	for p.send(ctx, c, br, fmt.Sprintf("kept-%016x", rng.Uint64()), p.soak.randomCall(rng)) && ctx.Err() == nil {
+	for p.send(context.WithoutCancel(ctx), c, br, fmt.Sprintf("kept-%016x", rng.Uint64()), p.soak.randomCall(rng)) && ctx.Err() == nil {
 		sleep(ctx, time.Duration(max(0, rng.IntN(20)-10))*time.Millisecond)
 	}
 }
