--- a/internal/cli/pwgatewaycommand/shutdown_test.go
+++ b/internal/cli/pwgatewaycommand/shutdown_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +35,10 @@
 	testGracePeriod = 8 * time.Second
 	// promptRefusal is the longest time to the refusal of what can't finish.
 	promptRefusal = 50 * time.Millisecond
+	// silence is how long the backend server of the "pause" route sends nothing before its last
+	// event: less than what makes callers leave, but more than the gateway waits outside of a
+	// shutdown.
+	silence = 1600 * time.Millisecond
 )
 
 // stopFixture is a gateway that is stopped while callers use it. The last part of a path
@@ -42,6 +50,8 @@
 	conns    *connTracker
 	listener *pwfakeplatform.PipeListener
 	startAt  time.Time
+	// grace is the time from the beginning of the stop to the forced kill.
+	grace time.Duration
 
 	mu sync.Mutex
 	// passedOn holds the ids of the requests that reached a backend server.
@@ -49,10 +59,18 @@
 }
 
 func newStopFixture(t *testing.T) *stopFixture {
+	t.Helper()
+	f := newUnconfiguredStopFixture(t)
+	f.configure()
+	return f
+}
+
+func newUnconfiguredStopFixture(t *testing.T) *stopFixture {
 	t.Helper()
 	f := &stopFixture{
 		t:        t,
 		listener: pwfakeplatform.NewPipeListener(),
+		grace:    testGracePeriod,
 		passedOn: make(map[string]int),
 	}
 	deployment := pwdeployment.Deployment{
@@ -73,6 +91,7 @@
 	t.Cleanup(func() { _ = logs.Close() })
 	f.process = &process{
 		deployment: deployment,
+		bounds:     deployment.Bounds,
 		obs:        pwobserve.New(logs, "front-1", "hakata"),
 		logWriter:  logs,
 		stopping:   make(chan struct{}),
@@ -85,7 +104,6 @@
 			},
 		}, pwobserve.Discard()),
 	}
-	f.configure()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -123,10 +141,16 @@
 			}},
 		}
 	}
+	pause := route("pause", pwcatalog.Streaming, "model")
+	pause.Target, pause.TargetGap = 300*time.Millisecond, 250*time.Millisecond
+	once := route("once", pwcatalog.Streaming, "model")
+	once.Resumable = false
 	f.process.gateway.SetCatalog(pwcatalog.New(pwcatalog.Spec{
 		Version: 1,
 		Routes: []pwcatalog.Route{
+			pause,
 			route("note", pwcatalog.Streaming, "model"),
+			once,
 			route("book", pwcatalog.Unsafe, "desk"),
 			route("view", pwcatalog.Safe, "desk"),
 		},
@@ -181,7 +205,8 @@
 		f.mu.Unlock()
 		work := pathMillis(r.URL.Path)
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal\r\n", id)
-		if !strings.HasPrefix(r.URL.Path, "/note/") {
+		pauses := strings.HasPrefix(r.URL.Path, "/pause/")
+		if !pauses && !strings.HasPrefix(r.URL.Path, "/note/") && !strings.HasPrefix(r.URL.Path, "/once/") {
 			time.Sleep(work)
 			if _, err := io.WriteString(c, head+"Content-Length: 4\r\n\r\ndone"); err != nil {
 				return
@@ -191,6 +216,9 @@
 		const events = 10
 		for n := 1; n <= events; n++ {
 			time.Sleep(work / events)
+			if pauses && n == events {
+				time.Sleep(silence)
+			}
 			ev := fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n)
 			chunk := fmt.Sprintf("%x\r\n%s\r\n", len(ev), ev)
 			if n == 1 {
@@ -219,9 +247,9 @@
 type stopCall struct {
 	path string
 	// opened is when the connection is opened, sentAt when the request begins, and
-	// bodyTime how long the caller takes to send its body.
-	opened, sentAt, bodyTime time.Duration
-	deadline                 time.Duration
+	// bodyTime how long the caller takes to send its body. readAt is when it begins to read.
+	opened, sentAt, bodyTime, readAt time.Duration
+	deadline                         time.Duration
 }
 
 // stopResult is what a caller got.
@@ -265,6 +293,9 @@
 		}
 		sent <- time.Now()
 	}()
+	if call.readAt > 0 {
+		time.Sleep(time.Until(f.startAt.Add(call.readAt)))
+	}
 	resp, err := http.ReadResponse(br, nil)
 	now := time.Now()
 	res.answeredAt = now.Sub(f.startAt)
@@ -289,8 +320,8 @@
 func (f *stopFixture) shutdown() {
 	time.Sleep(time.Until(f.startAt))
 	f.process.shutdown(f.listener, f.server, f.conns)
-	if d := time.Since(f.startAt); d >= testGracePeriod {
-		f.t.Errorf("the process ends after %s, the grace period is %s", d, testGracePeriod)
+	if d := time.Since(f.startAt); d >= f.grace {
+		f.t.Errorf("the process ends after %s, the grace period is %s", d, f.grace)
 	}
 }
 
@@ -336,11 +367,15 @@
 		"stream, late, known to be short":        {call: stopCall{path: "/note/400", opened: late, sentAt: 4 * time.Second, deadline: long}, known: "/note/300", status: 503},
 		"stream, late, longer than expected":     {call: stopCall{path: "/note/6000", opened: late, sentAt: 3 * time.Second, deadline: long}, known: "/note/300", status: 503},
 		"stream, late, deadline in the grace":    {call: stopCall{path: "/note/400", opened: late, sentAt: 4 * time.Second, deadline: 3 * time.Second}, status: 200, passedOn: true},
+		"stream that can't be resumed, late":     {call: stopCall{path: "/once/400", opened: late, sentAt: 4 * time.Second, deadline: long}, known: "/once/300", status: 503},
 		"stream, early, body ends late":          {call: stopCall{path: "/note/400", opened: before, sentAt: time.Second, bodyTime: 3 * time.Second, deadline: long}, known: "/note/300", status: 503},
+		"stream, in flight, server is silent":    {call: stopCall{path: "/pause/3000", opened: before, sentAt: before, deadline: long}, status: 200, passedOn: true},
 		"stream, early, known to be short":       {call: stopCall{path: "/note/3000", opened: before, sentAt: time.Second, deadline: long}, known: "/note/3000", status: 200, passedOn: true},
 		"new connection while it is not ready":   {call: stopCall{path: "/book/50", opened: time.Second, sentAt: time.Second, deadline: short}, status: 200, passedOn: true},
 		"first used late":                        {call: stopCall{path: "/book/50", opened: 2 * time.Second, sentAt: 6500 * time.Millisecond, deadline: short}, status: 200, passedOn: true},
 		"first used at the end":                  {call: stopCall{path: "/book/50", opened: late, sentAt: 7300 * time.Millisecond, deadline: short}, status: 503},
+		"answer ready, caller reads at the end":  {call: stopCall{path: "/book/3000", opened: before, sentAt: before, readAt: 7550 * time.Millisecond, deadline: long}, status: 200, passedOn: true},
+		"answer ready just before the end":       {call: stopCall{path: "/book/7500", opened: before, sentAt: -10 * time.Millisecond, deadline: long}, status: 200, passedOn: true},
 		"slow body, ends after the grace":        {call: stopCall{path: "/book/50", opened: before, sentAt: before, bodyTime: 15 * time.Second, deadline: long}, status: 503},
 		"slow body, begins late":                 {call: stopCall{path: "/book/50", opened: late, sentAt: 5 * time.Second, bodyTime: 15 * time.Second, deadline: long}, status: 503},
 		"slow body, ends late, short deadline":   {call: stopCall{path: "/book/50", opened: late, sentAt: 5 * time.Second, bodyTime: 2 * time.Second, deadline: 2500 * time.Millisecond}, status: 200, passedOn: true},
@@ -468,3 +503,164 @@
 		}
 	})
 }
+
+// Guards against a stop that goes by the grace of the start although the settings file has
+// changed since: the forced kill then cuts what still runs, or requests are ended before the
+// last sixth of the grace. The same holds for margins that don't fit a short grace.
+func TestStopUsesNewestGrace(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// settings are the lines of the settings file when the stop begins.
+		settings string
+		grace    time.Duration
+	}{
+		"unchanged": {settings: "bounds.grace-s=8", grace: 8 * time.Second},
+		"shorter":   {settings: "bounds.grace-s=4", grace: 4 * time.Second},
+		"longer":    {settings: "bounds.grace-s=12", grace: 12 * time.Second},
+		"invalid":   {settings: "bounds.grace-s=soon", grace: testGracePeriod},
+		"2 s":       {settings: "bounds.grace-s=2", grace: 2 * time.Second},
+		"1 s":       {settings: "bounds.grace-s=1", grace: time.Second},
+		"300 ms":    {settings: "bounds.grace-s=0.3", grace: 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newStopFixture(t)
+				f.grace = tc.grace
+				f.process.settingsPath = filepath.Join(t.TempDir(), "settings.conf")
+				lines := "node=front-1\nip-address=10.1.0.40\nplatform.address=10.2.0.1:80\nlisten-addresses.front=10.1.0.40:80\ninternal-ports=1,2\n" + tc.settings
+				if err := os.WriteFile(f.process.settingsPath, []byte(lines), 0o600); err != nil {
+					t.Fatal(err)
+				}
+				f.startAt = time.Now().Add(20 * time.Second)
+				stopped := make(chan struct{})
+				go func() {
+					defer close(stopped)
+					f.shutdown()
+				}()
+				res := f.run("a1", stopCall{
+					path:     "/book/20000",
+					opened:   -time.Second,
+					sentAt:   -time.Second,
+					deadline: 30 * time.Second,
+				})
+				<-stopped
+				if lastSixth := tc.grace * 5 / 6; res.status != http.StatusGatewayTimeout || res.answeredAt < lastSixth || res.answeredAt >= tc.grace {
+					t.Errorf("the caller got %+v, want a 504 between %s and %s", res, lastSixth, tc.grace)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a process that is stopped before it has a configuration and leaves the requests
+// in its listener's queue without an answer, or that goes on after the last connection.
+func TestStopWithoutConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newUnconfiguredStopFixture(t)
+		f.startAt = time.Now().Add(time.Second)
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			f.shutdown()
+		}()
+		for n, sentAt := range []time.Duration{-500 * time.Millisecond, 0, 2 * time.Second} {
+			res := f.run(fmt.Sprint("a", n), stopCall{
+				path:     "/book/50",
+				opened:   sentAt,
+				sentAt:   sentAt,
+				deadline: 30 * time.Second,
+			})
+			if res.status != http.StatusServiceUnavailable || !res.complete || res.retryAfter == "" || res.waited > promptRefusal {
+				t.Errorf("the caller of %s got %+v, want a prompt 503 with Retry-After", sentAt, res)
+			}
+		}
+		<-stopped
+		if d := time.Since(f.startAt); d > notReadyPeriod+closePollInterval {
+			t.Errorf("the process ends after %s without connections, want %s", d, notReadyPeriod)
+		}
+	})
+}
+
+// Guards against a stopping process that leaves a connection open after a stream that began
+// before the stop: its caller would send the next request there, only to be refused.
+func TestStopClosesConnectionsAsTheyBecomeIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStopFixture(t)
+		f.startAt = time.Now().Add(2 * time.Second)
+		go f.shutdown()
+		time.Sleep(time.Until(f.startAt.Add(-time.Second)))
+		c, err := f.listener.Dial(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		br := bufio.NewReader(c)
+		if res := f.exchange(c, br, "a1", stopCall{
+			path:     "/note/5000",
+			deadline: 10 * time.Second,
+		}); res.status != http.StatusOK || !res.complete || res.closes {
+			t.Fatalf("the caller got %+v, want a whole stream that doesn't announce the stop", res)
+		}
+		synctest.Wait()
+		endedAt := time.Now()
+		if _, err := br.ReadByte(); !errors.Is(err, io.EOF) || time.Since(endedAt) > 0 {
+			t.Errorf("the connection ended after %s with %v, want an end at once", time.Since(endedAt), err)
+		}
+	})
+}
+
+// Guards against requests that arrive on a connection which is being closed and are passed
+// on, although they can't be answered any more.
+func TestRequestsOfClosingConnectionsAreDropped(t *testing.T) {
+	srv := &http.Server{
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			t.Error("the request was passed on")
+		}),
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context { return ctx },
+	}
+	conns := newConnTracker(srv)
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	conns.track(near, http.StateIdle)
+	if n := conns.closeIdle(); n != 0 {
+		t.Errorf("%d connections are left, want none", n)
+	}
+	defer func() {
+		if err, ok := recover().(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+			t.Errorf("the handler ended with %v, want an abort", err)
+		}
+		if conns.dropped != 1 {
+			t.Errorf("%d requests counted as dropped, want 1", conns.dropped)
+		}
+	}()
+	r := httptest.NewRequestWithContext(srv.ConnContext(t.Context(), near), http.MethodPost, "/", nil)
+	srv.Handler.ServeHTTP(httptest.NewRecorder(), r)
+}
+
+// Guards against a handler that panics while a request runs and leaves no line in the log:
+// its caller sees a connection that ends without an answer.
+func TestPanicsOfHandlersAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var logged bytes.Buffer
+		p := &process{
+			obs:     pwobserve.New(&logged, "front-1", "hakata"),
+			gateway: pwgateway.New(pwgateway.Config{}, pwobserve.Discard()),
+		}
+		srv := p.newServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("out of order") }))
+		srv.ConnContext = nil
+		l := pwfakeplatform.NewPipeListener()
+		serve(srv, l, make(chan error, 1))
+		c, err := l.Dial(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, c) // ends with the connection
+		_ = srv.Close()
+		synctest.Wait()
+		if !strings.Contains(logged.String(), "out of order") {
+			t.Errorf("the log is %q, want the panic", logged.String())
+		}
+	})
+}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -71,6 +71,8 @@
 	runs         int
 	rejections   int
 	triedServers map[string]bool
+	// retryTaken is set when the next send has been taken from the retry budget.
+	retryTaken bool
 	// weightRejections counts the rejections for other weights than the caller expects.
 	weightRejections int
 	// headWritten is set when the head of a streamed response has been written.
@@ -324,6 +326,19 @@
 	}
 }
 
+// target returns the target of the route. Without one, it is all the time that the caller
+// waits.
+func (x *exchange) target() time.Duration {
+	switch {
+	case x.route.Target > 0:
+		return x.route.Target
+	case x.route.Kind == pwcatalog.Streaming:
+		return min(x.timeout(), x.g.cfg.Policy.abandonTime(x.route))
+	default:
+		return x.timeout()
+	}
+}
+
 // acquire waits until the request is placed on a server.
 func (x *exchange) acquire(ctx context.Context) (pwfleet.Plan, *pwfleet.Assignment, error) {
 	now := time.Now()
@@ -333,9 +348,9 @@
 		workspace:          x.workspace,
 		priority:           x.priority,
 		arrivedAt:          x.arrivedAt,
-		firstTokenDeadline: x.arrivedAt.Add(x.route.Target),
+		firstTokenDeadline: x.arrivedAt.Add(x.target()),
 		abandonAt:          x.deadline,
-		noServerWaitUntil:  x.arrivedAt.Add(time.Duration(x.g.cfg.Policy.NoServerWaitShare * float64(x.route.Target))),
+		noServerWaitUntil:  x.arrivedAt.Add(time.Duration(x.g.cfg.Policy.NoServerWaitShare * float64(x.target()))),
 		capacityWaitUntil:  x.deadline,
 	}
 	if x.route.Kind == pwcatalog.Streaming {
@@ -349,8 +364,12 @@
 		}
 		p.capacityWaitUntil = from.Add(time.Duration(x.g.cfg.Policy.WaitShare * float64(abandonTime)))
 	}
-	ctx, cancel := x.g.shutdown.endBefore(ctx, x.neededTime)
-	defer cancel()
+	if !x.headWritten {
+		// A stream that has begun can't be refused any more.
+		var cancel context.CancelFunc
+		ctx, cancel = x.g.shutdown.endBefore(ctx, x.neededTime)
+		defer cancel()
+	}
 	plan, assignment, err := x.g.dispatcher.acquire(ctx, p)
 	if errors.Is(err, errStopping) {
 		err = newDrainRefusal("the process stops before the request, which waits for an engine, can finish")
@@ -395,11 +414,12 @@
 		return x.rejections < x.g.cfg.Policy.MaxRejections, err
 	}
 	defer release()
-	if x.sends > 0 {
+	if x.sends > 0 && !x.retryTaken {
 		if err := x.g.dispatcher.takeRetry(x.service); err != nil {
 			return false, err
 		}
 	}
+	x.retryTaken = false
 	s := &send{
 		x:            x,
 		plan:         plan,
@@ -407,8 +427,11 @@
 		helpers:      helpers,
 		placedAt:     placedAt,
 		eventsBefore: x.eventCount,
+		runsBefore:   x.runs,
 	}
-	return s.execute(ctx)
+	retryable, err = s.execute(ctx)
+	x.retryTaken = s.retryTaken
+	return retryable, err
 }
 
 // finishWithError ends a request that failed. A caller that has left, or has the head of a
@@ -422,6 +445,9 @@
 	}
 	if x.headWritten {
 		x.logOutcome("cut", err)
+		if !x.r.ProtoAtLeast(1, 1) {
+			resetOnClose(x.r.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 	var e *pwverdict.Error
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -48,10 +48,15 @@
 	watchdog   *watchdog
 	gaps       gapWindow
 	placedAt   time.Time
-	// eventsBefore is the number of events that earlier sends delivered.
+	// eventsBefore is the number of events that earlier sends delivered, runsBefore the
+	// number of earlier sends that a server may have run.
 	eventsBefore int
+	runsBefore   int
 	// timedOut is set when the watchdog ended the send.
 	timedOut atomic.Bool
+	// retryTaken is set when the send was given up for a retry that has been taken from the
+	// budget. It is read after the watchdog has stopped.
+	retryTaken bool
 }
 
 // execute sends the request and delivers the response. With an error it returns
@@ -146,8 +151,12 @@
 }
 
 // safeTimeout returns how long a server may take to respond to a request that is not
-// a stream, before the request is sent to another server.
+// a stream, before the request is sent to another server. Without a target, that leaves as
+// much for each of the other attempts.
 func (s *send) safeTimeout() time.Duration {
+	if s.x.route.Target <= 0 {
+		return s.x.deadline.Sub(s.placedAt) / time.Duration(max(1, s.x.route.Attempts-s.runsBefore))
+	}
 	return time.Duration(s.x.g.cfg.Policy.SafeTimeoutTargetMultiple * float64(s.x.route.Target))
 }
 
@@ -294,14 +303,11 @@
 		// The server is not to blame.
 		return false, pwverdict.Wrap(errStopping, pwverdict.MayHaveRun, pwverdict.CauseDraining, "waiting for %s", s.plan.Server.ID)
 	}
-	if s.timedOut.Load() {
-		failure = pwfleet.FailureResponse
-	}
-	s.reportFailure(failure, err)
 	x.triedServers[s.plan.Server.ID] = true
 	if s.timedOut.Load() {
 		err = pwverdict.Wrap(errServerUnresponsive, pwverdict.MayHaveRun, pwverdict.CauseEngineFailed, "%s", s.plan.Server.ID)
 	} else {
+		s.reportFailure(failure, err)
 		go x.g.probeCrash(x, s.plan.Server, x.eventCount-s.eventsBefore)
 	}
 	return x.route.Repeatable() && x.runs < x.route.Attempts, err
@@ -474,7 +480,7 @@
 // reservationHold returns how long a reservation lasts without renewal. It is short,
 // because memory must be free soon after this process dies.
 func (g *Gateway) reservationHold() time.Duration {
-	b := g.cfg.Deployment.Bounds
+	b := g.dispatcher.bounds()
 	return min(b.MaxReservationTime, max(b.ReleaseTimeout-holdMargin, 2*holdMargin))
 }
 
