Read event lines that are longer than the read buffer

What callers saw: streams with an event line over 4 KiB got 502, though two servers had run them, or were resumed again and again at that event. Cause: a line longer than the read buffer came in parts, and the last part was taken as a line of its own. Without a colon it made the event malformed. Change: a line is taken from the bytes of the event, from its beginning. Events stay bounded to 64 KiB.

--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -80,10 +80,10 @@
 // the bytes that were left.
 func readEvent(br *bufio.Reader) (event, error) {
 	var ev event
-	hasLine := false
+	hasLine, lineStart := false, 0
 	for {
-		line, err := br.ReadSlice('\n')
-		ev.raw = append(ev.raw, line...)
+		part, err := br.ReadSlice('\n')
+		ev.raw = append(ev.raw, part...)
 		if len(ev.raw) > maxEventBytes {
 			return ev, fmt.Errorf("an event exceeds %d bytes", maxEventBytes)
 		}
@@ -93,7 +93,8 @@
 		if err != nil {
 			return ev, err
 		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(ev.raw[lineStart:], "\r\n")
+		lineStart = len(ev.raw)
 		if len(text) == 0 {
 			if hasLine {
 				return ev, nil
--- a/internal/node/pwgateway/stream_end_test.go
+++ b/internal/node/pwgateway/stream_end_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,7 +20,8 @@
 }
 
 // Guards against streams without a length that are taken as complete although they ended
-// inside an event or before the first one, and against complete ones that are sent again.
+// inside an event or before the first one, and against complete ones that are sent again, also
+// with long lines.
 func TestStreamThatEndsWithItsConnection(t *testing.T) {
 	const events = "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
 	// after is the event after which the stream must be resumed, or "complete".
@@ -32,6 +34,10 @@
 			body:  completeStream + ": end\n\n",
 			after: "complete",
 		},
+		"complete, with lines longer than the read buffer": {
+			body:  events + ": " + strings.Repeat("c", 9<<10) + "\nid: 3\ndata: " + strings.Repeat("x", 9<<10) + "\n\n",
+			after: "complete",
+		},
 		"inside a line": {
 			body:  events + "id: 3\nda",
 			after: "2",
