--- a/internal/fake/pwsoak/plannedstop_test.go
+++ b/internal/fake/pwsoak/plannedstop_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -40,6 +44,7 @@
 		if s.report.Served == 0 {
 			t.Error("no request was served before the stop")
 		}
+		checkLogEndsRequests(t, filepath.Join(s.entries[0].dir, "log"))
 	})
 	for i := range callers {
 		rng := rand.New(rand.NewPCG(s.opts.Seed, uint64(100+i)))
@@ -49,6 +54,41 @@
 	return s, ctx
 }
 
+// checkLogEndsRequests checks that the log has a line of the end of each request that the
+// first process in it has passed on.
+func checkLogEndsRequests(t *testing.T, path string) {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	running := make(map[string]bool)
+	for text := range bytes.Lines(raw) {
+		var line struct {
+			Message string `json:"message"`
+			Fields  struct {
+				Request      string `json:"request"`
+				LinesDropped int    `json:"lines_dropped"`
+			} `json:"fields"`
+		}
+		if err := json.Unmarshal(text, &line); err != nil {
+			t.Fatalf("%v: %s", err, text)
+		}
+		switch line.Message {
+		case "sent":
+			running[line.Fields.Request] = true
+		case "answered", "refused", "cut", "caller_left":
+			delete(running, line.Fields.Request)
+		case "stop":
+			if len(running) > 0 || line.Fields.LinesDropped > 0 {
+				t.Errorf("%d requests have no end in the log, %d lines were dropped: %v", len(running), line.Fields.LinesDropped, running)
+			}
+			return
+		}
+	}
+	t.Error("the log has no end of the process")
+}
+
 // stopUnderStreams stops the entry while streams of some events come at intervals, the first
 // one some time after the beginning.
 func (p *plannedStop) stopUnderStreams(ctx context.Context, streams, events int, first, interval time.Duration) {
