--- a/internal/node/pwgateway/watchdog.go
+++ b/internal/node/pwgateway/watchdog.go
@@ -136,7 +136,7 @@
 	}
 	r := w.retry
 	r.Urgent = !w.begun && x.route.Kind == pwcatalog.Streaming
-	r.Late = time.Since(x.arrivedAt) > x.route.Target
+	r.Late = time.Since(x.arrivedAt) > x.target()
 	w.send.retryTaken = x.g.dispatcher.takeRetryIfPlaceable(x.service, r)
 	return w.send.retryTaken
 }
