Wait for the reset of the engine before the test uses its agent

Goroutines: the test waited for the end of an agent that nothing had told to stop. A starting agent accepts attempts before it has reset its engine, and the reset ends them; the test took that for the end of the agent. That a starting agent loses attempts in this way is a matter of its own; the entry gets the failure of the attempt.

--- a/internal/node/pwprocess/agentstop_test.go
+++ b/internal/node/pwprocess/agentstop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +49,19 @@
 			if tc.kind == "model_engines" {
 				handler = pwfakeengine.New(t.Context(), pwfakeengine.Options{}).Handler()
 			}
+			// A starting agent resets its engine, which ends attempts that it has accepted before.
+			reset := make(chan struct{})
+			resets := handler
+			if tc.kind == "model_engines" {
+				handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					resets.ServeHTTP(w, r)
+					if strings.HasSuffix(r.URL.Path, "/reset") {
+						close(reset)
+					}
+				})
+			} else {
+				close(reset)
+			}
 			backend := httptest.NewServer(handler)
 			defer backend.Close()
 			settings, err := pwsettings.Parse(fmt.Appendf(nil, `{"format_version":1,"instance":"agent-1","data_centre":"hakata","listen":{"peers":"127.0.0.1:0","advertise":"127.0.0.1:1"},
@@ -73,6 +87,7 @@
 			}()
 			claims := pwclaim.New(table, pwclaim.Config{})
 			client := pwentry.NewConnectDialer(pwtransport.NewClient(nil), "http", connect.WithGRPC()).Agent(peers.Addr().String())
+			<-reset
 			for n := 0; ; n++ {
 				id := pwrequest.AttemptID(fmt.Sprint("attempt-", n))
 				if tc.kind == "model_engines" {
@@ -110,10 +125,12 @@
 						err = resp.Refusal.Err()
 					}
 				}
-				if pwverdict.CauseOf(err) != pwverdict.CauseOutOfService {
+				if ctx.Err() != nil {
 					break
 				}
-				time.Sleep(50 * time.Millisecond) // it has had no contact with the table yet
+				// The agent has had no contact with the table yet.
+				t.Log(err)
+				time.Sleep(50 * time.Millisecond)
 			}
 			if err == nil || pwverdict.VerdictOf(err) != pwverdict.MayHaveRun {
 				t.Errorf("the entry got verdict %v: %v", pwverdict.VerdictOf(err), err)
