Notice settings that change while a gateway starts

A settings file that changed between its loading and the start of the loop that watches it was not loaded until it changed again; since SIGHUP no longer ends a starting process, a signal in that time was lost, too. Cause: the loop took the version of the file as it began. Change: the version is taken before the file is first loaded. Result: TestSettingsThatChangeAtTheStartAreLoaded passes. It calls a step that is new, so it did not run on the old code.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -100,6 +100,7 @@
 	if path == "" {
 		path = platform.SettingsPath()
 	}
+	version := fileVersion(path)
 	d, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -119,12 +120,13 @@
 		_ = out.Close()
 	}()
 	p := &process{
-		deployment:   d,
-		bounds:       d.Bounds,
-		settingsPath: path,
-		obs:          pwobserve.New(out, pwrequest.InstanceID(d.Instance), pwrequest.DataCentre(d.DataCentre)),
-		logWriter:    out,
-		tuning:       tuning,
+		deployment:      d,
+		bounds:          d.Bounds,
+		settingsPath:    path,
+		settingsVersion: version,
+		obs:             pwobserve.New(out, pwrequest.InstanceID(d.Instance), pwrequest.DataCentre(d.DataCentre)),
+		logWriter:       out,
+		tuning:          tuning,
 	}
 	p.obs.SetSkipRoutine(func() bool { return !tuning.LogRequests || out.HalfFull() })
 	return p.run(ctx)
@@ -133,8 +135,11 @@
 // process is a gateway with its background goroutines and listeners. configured is
 // closed when the first configuration is in force, stopping when the shutdown begins.
 type process struct {
-	deployment       pwdeployment.Deployment
-	settingsPath     string
+	deployment   pwdeployment.Deployment
+	settingsPath string
+	// settingsVersion is that of the settings file when it was last loaded. loopSettings owns
+	// it.
+	settingsVersion  string
 	obs              *pwobserve.Observer
 	logWriter        *pwobserve.AsyncWriter
 	tuning           Tuning
@@ -425,18 +430,24 @@
 	defer signal.Stop(hup)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
-	version := fileVersion(p.settingsPath)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hup:
+			p.settingsVersion = fileVersion(p.settingsPath)
+			p.reload()
 		case <-ticker.C:
-			if now := fileVersion(p.settingsPath); now == version {
-				continue
-			}
+			p.reloadIfChanged()
 		}
-		version = fileVersion(p.settingsPath)
+	}
+}
+
+// reloadIfChanged reloads the settings file if it has changed since loopSettings or the start
+// of the process last loaded it.
+func (p *process) reloadIfChanged() {
+	if version := fileVersion(p.settingsPath); version != p.settingsVersion {
+		p.settingsVersion = version
 		p.reload()
 	}
 }
--- a/internal/cli/pwgatewaycommand/reload_test.go
+++ b/internal/cli/pwgatewaycommand/reload_test.go
@@ -52,3 +52,18 @@
 		}
 	})
 }
+
+// Guards against settings that change while a process starts, after it has loaded them, and
+// are not noticed until they change once more.
+func TestSettingsThatChangeAtTheStartAreLoaded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newStopFixture(t)
+		f.writeSettings("bounds.grace-s=8")
+		f.process.settingsVersion = fileVersion(f.process.settingsPath)
+		f.writeSettings("bounds.grace-s=12")
+		f.process.reloadIfChanged()
+		if got := f.process.gracePeriod(); got != 12*time.Second {
+			t.Errorf("the grace period is %s, want 12s", got)
+		}
+	})
+}
