Read the newest configuration first after an outage of the store

Cause: a watch of the operators' rows returns each version of the document.

Change: the operators' rows are listed after an outage and while versions follow one another within the batch delay; of several versions in a response only the newest readable one is decoded; a call lasts as long as its response arrives, for all tables.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -181,6 +181,7 @@
 		Name:       "operator",
 		Wait:       watchWait(d.Bounds),
 		BatchDelay: d.Bounds.ApplyTimeout / operatorBatchDivisor,
+		NewestOnly: true,
 		OnRestore: func() {
 			p.directory.Refresh()
 			quarantine.Recheck()
--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -101,6 +101,9 @@
 	// NowMS is the store's clock at the time of the response, in milliseconds.
 	NowMS int64
 	Items []Item[T]
+	// Superseded counts the rows that were left out because a newer version of the same
+	// row is in Items.
+	Superseded int
 }
 
 // Source reads one table of the store.
@@ -136,6 +139,12 @@
 	// DefaultOutageGrace is how long after an outage of the store the owners of rows
 	// that expired or were lost during the outage have to write them again.
 	DefaultOutageGrace = 2 * time.Second
+	// DefaultStallTimeout is how long a response that has begun may stand still. It covers
+	// one lost packet on a link between data centres.
+	DefaultStallTimeout = 1500 * time.Millisecond
+	// DefaultTransferTimeout bounds a response that arrives slowly: the largest one takes
+	// 2.4 s on a link of 14 Mbit/s that is otherwise idle.
+	DefaultTransferTimeout = 8 * time.Second
 )
 
 // maxLoggedRows bounds the rows that a log line names.
@@ -152,6 +161,14 @@
 	MinBackoff  time.Duration
 	MaxBackoff  time.Duration
 	OutageGrace time.Duration
+	// StallTimeout and TransferTimeout bound responses for which the source reports
+	// progress; see ReportProgress.
+	StallTimeout    time.Duration
+	TransferTimeout time.Duration
+	// NewestOnly is set for a table of few large rows of which only the newest versions
+	// count. A watch returns each version in full, so the table is listed instead after an
+	// outage, and while versions follow one another within BatchDelay.
+	NewestOnly bool
 	// OnRestore is called when the store has come back from an older copy, which may lack
 	// what this process wrote. It must not block; nil stands for no call.
 	OnRestore func()
@@ -165,6 +182,8 @@
 	pwdefault.SetUnlessPositive(&cfg.MinBackoff, DefaultMinBackoff)
 	pwdefault.SetUnlessPositive(&cfg.MaxBackoff, DefaultMaxBackoff)
 	pwdefault.SetUnlessPositive(&cfg.OutageGrace, DefaultOutageGrace)
+	pwdefault.SetUnlessPositive(&cfg.StallTimeout, DefaultStallTimeout)
+	pwdefault.SetUnlessPositive(&cfg.TransferTimeout, DefaultTransferTimeout)
 	return cfg
 }
 
@@ -205,7 +224,9 @@
 	loggedStale bool
 
 	inOutage bool
-	// probeCount counts the watch calls during an outage.
+	// crowded is set while versions follow one another within the batch delay.
+	crowded bool
+	// probeCount counts the calls during an outage.
 	probeCount int
 	// graceUntil is set while the first response after an outage is processed.
 	graceUntil time.Time
@@ -287,7 +308,7 @@
 // poll lists the table if that is due, or else watches it for changes once. During
 // an outage the watch returns immediately, to probe whether the store responds.
 func (f *Follower[T]) poll(ctx context.Context) error {
-	if !f.hasListing {
+	if !f.hasListing || f.cfg.NewestOnly && (f.inOutage || f.crowded) {
 		return f.list(ctx)
 	}
 	wait := time.Duration(f.wait.Load())
@@ -296,12 +317,11 @@
 	}
 	timeout := wait + f.cfg.WaitMargin
 	if f.inOutage {
-		wait, timeout = 0, probeTimeouts[f.probeCount%len(probeTimeouts)]
-		f.probeCount++
+		wait, timeout = 0, f.nextProbeTimeout()
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := f.withCallTimeout(ctx, timeout)
 	defer cancel()
-	snap, err := f.source.Watch(ctx, f.version, wait)
+	snap, err := f.source.Watch(callCtx, f.version, wait)
 	if err != nil {
 		return err
 	}
@@ -316,12 +336,20 @@
 	f.applyNewer(snap.Items)
 	f.version = max(f.version, snap.Version)
 	f.removeUnconfirmed()
+	f.crowded = snap.Superseded > 0
 	if len(snap.Items) > 0 {
 		sleep(ctx, time.Duration(f.batchDelay.Load()))
 	}
 	return nil
 }
 
+// nextProbeTimeout returns the timeout of the next call during an outage.
+func (f *Follower[T]) nextProbeTimeout() time.Duration {
+	timeout := probeTimeouts[f.probeCount%len(probeTimeouts)]
+	f.probeCount++
+	return timeout
+}
+
 // sleep waits for d or until ctx is cancelled.
 func sleep(ctx context.Context, d time.Duration) {
 	select {
@@ -335,9 +363,13 @@
 
 // list reads the whole table. Rows that are no longer listed count as removed.
 func (f *Follower[T]) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, f.cfg.ListTimeout)
+	timeout := f.cfg.ListTimeout
+	if f.inOutage && f.hasListing {
+		timeout = f.nextProbeTimeout()
+	}
+	callCtx, cancel := f.withCallTimeout(ctx, timeout)
 	defer cancel()
-	snap, err := f.source.List(ctx)
+	snap, err := f.source.List(callCtx)
 	if err != nil {
 		return err
 	}
@@ -356,11 +388,22 @@
 	f.loggedStale = false
 	f.recordContact()
 	present := make(map[string]bool, len(snap.Items))
-	for i := range snap.Items {
-		present[snap.Items[i].Key] = true
-		snap.Items[i].Restored = f.awaitsRestored
+	items := snap.Items[:0:0]
+	unreadable := false
+	for _, it := range snap.Items {
+		present[it.Key] = true
+		it.Restored = f.awaitsRestored
+		if version, ok := f.versions[it.Key]; !ok || it.Version != version || !f.liveKeys[it.Key] {
+			items = append(items, it)
+			unreadable = unreadable || it.Err != nil
+		}
+	}
+	if f.hasListing && unreadable {
+		// The listing stands for a watch, which also returns the versions before one that
+		// cannot be read.
+		f.crowded = false
+		return nil
 	}
-	items := snap.Items
 	for key := range f.liveKeys {
 		switch _, isUnconfirmed := f.unconfirmed[key]; {
 		case present[key] || f.versions[key] > snap.Version:
@@ -377,6 +420,10 @@
 	f.applyNewer(items)
 	f.version = snap.Version
 	f.hasListing, f.awaitsRestored = true, false
+	f.removeUnconfirmed()
+	if f.crowded = f.crowded && len(items) > 0; f.crowded {
+		sleep(ctx, time.Duration(f.batchDelay.Load()))
+	}
 	return nil
 }
 
