Take an answer without a length as broken if its request was not written

Cause: a server that answers an upload at once, without a length, sends part of the body and resets the connection. Linux reports the reset once. When the write of the request gets it, the read sees a plain end, which completes an answer without a length.

Change: the end of the connection completes such an answer only if the request was written whole. A write that still waits then is ended. Gateways handle the rest as any broken answer: unsafe requests fail as may have run, safe ones are sent again, streams resume after the last event. Answers with a length or chunks, which already showed their end, are not touched.

--- a/internal/node/pwgateway/gateway_test.go
+++ b/internal/node/pwgateway/gateway_test.go
@@ -31,6 +31,8 @@
 // its replies, and with the last one from then on.
 type backend struct {
 	replies []func(c net.Conn, r *http.Request)
+	// early holds what a connection gets before its request has been read; then it is closed.
+	early chan string
 
 	mu          sync.Mutex
 	requests    []*http.Request
@@ -43,6 +45,14 @@
 	b.mu.Lock()
 	b.conns = append(b.conns, c)
 	b.mu.Unlock()
+	select {
+	case answer := <-b.early:
+		// The gateway may close the connection at any byte.
+		_, _ = c.Read(make([]byte, 10))
+		_, _ = io.WriteString(c, answer)
+		return
+	default:
+	}
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -81,6 +81,9 @@
 	errHeadTooLarge      = fmt.Errorf("the head of the response exceeds %d bytes", maxHeadBytes)
 	errTooManyResponses  = fmt.Errorf("more than %d informational responses", maxInformationalResponses)
 	errRemainderTooLarge = fmt.Errorf("the rest of the body exceeds %d bytes", MaxDrainBytes)
+	// errEndBeforeRequest is returned for a response that ended with its connection before
+	// the request was written whole.
+	errEndBeforeRequest = errors.New("the connection ended before the request was written")
 )
 
 // headLimiter reads from a connection and bounds the bytes that are read while the head
@@ -374,6 +377,12 @@
 			return nil, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "reading the response of %s", c.addr)
 		}
 		if resp.StatusCode >= http.StatusOK {
+			if !IsDelimited(resp) && resp.Body != http.NoBody {
+				resp.Body = &unframedBody{
+					ReadCloser: resp.Body,
+					conn:       c,
+				}
+			}
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
@@ -383,6 +392,35 @@
 	return nil, pwverdict.Wrap(errTooManyResponses, pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "reading the response of %s", c.addr)
 }
 
+// unframedBody is the body of a response that ends with its connection.
+type unframedBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Read implements io.Reader. It returns io.EOF only if the request was written whole. The
+// kernel reports a reset once: when a write has got it, a read gets a plain end of the
+// connection, as if the response were complete.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if writeErr := b.conn.endWrite(); writeErr != nil {
+			return n, errors.Join(errEndBeforeRequest, writeErr)
+		}
+	}
+	return n, err
+}
+
+// endWrite ends a write of the request that is still waiting, and returns why the request
+// was not written whole, or nil.
+func (c *Conn) endWrite() error {
+	// The error is ignored: setting a deadline fails only on a closed connection, on which
+	// no write waits.
+	_ = c.netConn.SetWriteDeadline(time.Unix(1, 0))
+	<-c.writeDone
+	return c.writeErr
+}
+
 // Drain reads the rest of a body that is not needed, after which the connection can
 // carry another response. It fails when the rest exceeds MaxDrainBytes or takes longer
 // than drainTimeout; the connection must then be closed.
