Treat what has no status of HTTP as a broken answer of a backend server

Cause: statuses below 200 were skipped as informational, also 000 and 099, and those from 600 were passed on to callers. A server in trouble that sent 000 and then another head gave its caller a success.

Change: pwupstream fails with may have run, which closes the connection, unless the status is 100 to 599; informational means 100 to 199.

--- a/internal/node/pwgateway/early_reset_test.go
+++ b/internal/node/pwgateway/early_reset_test.go
@@ -6,6 +6,16 @@
 	"testing/synctest"
 )
 
+// answerEarly lets the server that gets the next connection answer before it has read the
+// request, and close the connection.
+func (f *fixture) answerEarly(answer string) {
+	early := make(chan string, 1)
+	early <- answer
+	for _, b := range f.backends {
+		b.early = early
+	}
+}
+
 // Guards against a part of an answer without a length that callers get as a complete one,
 // because its server closed the connection while the request was still being written.
 func TestUnframedAnswerBeforeRequestWasWritten(t *testing.T) {
@@ -28,11 +38,7 @@
 					"desk-1":  newBackend(respond(200, "", "view")),
 					"desk-2":  newBackend(respond(200, "", "view")),
 				})
-				early := make(chan string, 1)
-				early <- tc.early
-				for _, b := range f.backends {
-					b.early = early
-				}
+				f.answerEarly(tc.early)
 				w, aborted := f.sendRequest(t.Context(), tc.path, "X-Token-Counts", "1000,100")
 				if aborted || w.Code != tc.status || tc.body != "" && w.Body.String() != tc.body {
 					t.Errorf("aborted %t, status %d and body %q, want %d and %q", aborted, w.Code, w.Body, tc.status, tc.body)
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -35,6 +35,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwtransport"
 )
 
 // Defaults of a Config.
@@ -365,7 +366,8 @@
 }
 
 // ReadResponse reads the header of the next response on the connection and skips
-// informational (1xx) responses. It fails when a head has no end within maxHeadBytes.
+// informational (1xx) responses. It fails when a head has no end within maxHeadBytes or when
+// its status is none.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
 	c.limiter.limited, c.limiter.remaining = true, maxHeadBytes
 	defer func() { c.limiter.limited = false }()
@@ -376,6 +378,9 @@
 		if err != nil {
 			return nil, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "reading the response of %s", c.addr)
 		}
+		if err := pwtransport.CheckStatus(resp.StatusCode); err != nil {
+			return nil, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "reading the response of %s", c.addr)
+		}
 		if resp.StatusCode >= http.StatusOK {
 			if !IsDelimited(resp) && resp.Body != http.NoBody {
 				resp.Body = &unframedBody{
--- a/internal/node/pwupstream/upstream_test.go
+++ b/internal/node/pwupstream/upstream_test.go
@@ -162,6 +162,11 @@
 			"incomplete header": "HTTP/1.1 200 OK\r\nContent-",
 			"not HTTP":          "\x00\x01garbage\r\n\r\n",
 			"switched protocol": "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+			"status 000":        "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			"status 099":        "HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			"status 600":        "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+			"status 999":        "HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n",
+			"status of 1 digit": "HTTP/1.1 0 X\r\nContent-Length: 0\r\n\r\n",
 		} {
 			m := &fakeServer{}
 			m.handle = func(c net.Conn, _ *http.Request) {
