Take such answers as broken in the clients of net/http, too

Cause: as in pwupstream. net/http closes a connection whose write failed, but its reader may have seen the plain end before.

Reads fail at the end of a connection on which a write failed or still waits, and an answer without a length is complete only when net/http has reported that the request was written. The first covers the last 4 KB, which net/http writes after its report, and each reset; the second an end between two writes.

--- a/internal/node/pwengine/client.go
+++ b/internal/node/pwengine/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwtransport"
 )
 
 // Limits of the HTTP adapters.
@@ -66,7 +67,7 @@
 	return client{
 		baseURL: u,
 		http: &http.Client{
-			Transport: transport,
+			Transport: pwtransport.CheckResponses(transport),
 			CheckRedirect: func(*http.Request, []*http.Request) error {
 				return http.ErrUseLastResponse // a redirected POST would run twice
 			},
