Treat what has no status of HTTP as no answer in the other clients

Cause: net/http passes on statuses of three digits from 000 to 999, also 101 on a connection that was not to switch. A release of memory counted as done with 000, a write to the store as rejected (not run), a call of a plain service got 000 as its result, and an operator's command took the body as an entry's refusal.

Change: pwtransport.CheckResponses and pwclient fail, with may have run, unless the status is one of a final response (200 to 599).

--- a/internal/cli/pwclient/client.go
+++ b/internal/cli/pwclient/client.go
@@ -35,6 +35,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwoperator"
+	"github.com/pomeloweir/pomeloweir/internal/node/pwtransport"
 )
 
 const (
@@ -234,6 +235,9 @@
 // responseError converts an error response. A body that is not a problem document
 // was sent by an intermediary, such as a proxy, so the request may have run.
 func responseError(status int, data []byte) error {
+	if err := pwtransport.CheckStatus(status); err != nil {
+		return pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "no response of an entry")
+	}
 	e := &RefusalError{}
 	if err := json.Unmarshal(data, &e.Refusal); err != nil || e.Refusal.Verdict == "" {
 		return pwverdict.New(pwverdict.MayHaveRun, pwverdict.CauseUnavailable, "response %d %s does not come from an entry", status, http.StatusText(status))
--- a/internal/node/pwengine/early_reset_test.go
+++ b/internal/node/pwengine/early_reset_test.go
@@ -52,3 +52,20 @@
 		})
 	}
 }
+
+// Guards against something with a status that is none, such as 000, which is taken as the result
+// of a call.
+func TestStatusThatIsNoneIsNoResult(t *testing.T) {
+	for _, status := range []string{"000", "+20", "099", "101", "600", "999"} {
+		s, err := pwengine.NewHTTPService(listenRaw(t, func(w io.Writer, _ *http.Request, _ int) {
+			_, _ = io.WriteString(w, "HTTP/1.1 "+status+" X\r\nContent-Length: 0\r\n\r\n")
+		}), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, _, err := s.Call(t.Context(), "reserve", "k1", []byte(`{}`))
+		if err == nil || pwverdict.VerdictOf(err) != pwverdict.MayHaveRun {
+			t.Errorf("status %s gives %d and %v, want an error that may have run", status, got, err)
+		}
+	}
+}
--- a/internal/node/pwtransport/response.go
+++ b/internal/node/pwtransport/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,8 +16,10 @@
 // request was written whole.
 var errEndBeforeRequest = errors.New("the connection ended before the request was written")
 
-// CheckResponses returns a round tripper that fails, while the body is read, for an HTTP/1.1
-// response without a length whose connection ended before its request was written whole. If next is an *http.Transport, a copy of it is used.
+// CheckResponses returns a round tripper that fails for what is no response or no complete
+// one: a status that is none (see StatusError), and an HTTP/1.1 response without a length
+// whose connection ended before its request was written whole. The latter fails while its
+// body is read. If next is an *http.Transport, a copy of it is used.
 func CheckResponses(next http.RoundTripper) http.RoundTripper {
 	if t, ok := next.(*http.Transport); ok {
 		t = t.Clone()
@@ -105,6 +108,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkFinalStatus(resp.StatusCode); err != nil {
+		// The body would hold the connection. Its rest is of no use.
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	if resp.ProtoMajor == 1 && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
 		resp.Body = &unframedBody{
 			ReadCloser: resp.Body,
@@ -115,6 +123,17 @@
 	return resp, nil
 }
 
+// checkFinalStatus returns an error unless a status is that of a final response.
+func checkFinalStatus(status int) error {
+	if err := CheckStatus(status); err != nil {
+		return err
+	}
+	if status < http.StatusOK {
+		return fmt.Errorf("an informational response, %d, instead of a final one", status)
+	}
+	return nil
+}
+
 // requestWrite records how the write of a request ended on the connection that it was last
 // sent on.
 type requestWrite struct {
