Report a change as in force once it is applied

The command asks each process (pwpeer Holds) whether it holds the change. A node answered that from its replica, into which it merges a change before it calls OnChange, which parses the document and gives it to the entry; the entry's goroutine may stand in between, or wait for another call of OnChange. Found by reading; the failure of TestSite itself was not seen again.

Change: a node knows for which keys OnChange is due or running, and up to which change it has returned; Holds answers from that.

--- a/internal/node/pwpeer/peer.go
+++ b/internal/node/pwpeer/peer.go
@@ -24,7 +24,6 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwrequest"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwrpc"
-	"github.com/pomeloweir/pomeloweir/internal/state/pwchange"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwgossip"
 	"github.com/pomeloweir/pomeloweir/internal/state/pwinstance"
 )
@@ -33,10 +32,11 @@
 // configuration changes.
 const maxMessageBytes = 16 << 20
 
-// GossipNode exchanges configuration changes with peers and holds the newest ones.
+// GossipNode exchanges configuration changes with peers and knows which ones this process
+// has applied.
 type GossipNode interface {
 	HandleExchange(ctx context.Context, req *pwrpc.ExchangeRequest) (*pwrpc.ExchangeResponse, error)
-	Get(key string) (pwchange.Change, bool)
+	InForce(key string, sequence uint64) bool
 }
 
 // Records stores request records for other processes. Put never replaces a newer
@@ -97,11 +97,10 @@
 // Holds implements the RPC that reports whether a change or a newer one of the same
 // key is in force in this process.
 func (s *Server) Holds(_ context.Context, req *connect.Request[pwrpc.HoldsRequest]) (*connect.Response[pwrpc.HoldsResponse], error) {
-	c, ok := s.Gossip.Get(req.Msg.Key)
 	return connect.NewResponse(&pwrpc.HoldsResponse{
 		Instance:   string(s.Self.ID),
 		DataCentre: string(s.Self.DataCentre),
-		InForce:    ok && c.Sequence >= req.Msg.Sequence,
+		InForce:    s.Gossip.InForce(req.Msg.Key, req.Msg.Sequence),
 	}), nil
 }
 
--- a/internal/state/pwgossip/gossip.go
+++ b/internal/state/pwgossip/gossip.go
@@ -167,8 +167,11 @@
 
 	mu      sync.Mutex
 	replica *pwchange.Replica
-	view    *view
-	rng     *rand.Rand
+	// unapplied holds the keys with changes that were merged, but for which OnChange has
+	// not returned yet.
+	unapplied map[string]*application
+	view      *view
+	rng       *rand.Rand
 
 	// notifyMu serialises the calls of OnChange.
 	notifyMu sync.Mutex
@@ -239,10 +242,11 @@
 	}
 	opts = opts.withDefaults()
 	n := &Node{
-		opts:    opts,
-		replica: pwchange.NewReplica(),
-		view:    newView(opts),
-		rng:     rand.New(rand.NewPCG(opts.Seed, score(string(opts.Self.ID)))),
+		opts:      opts,
+		replica:   pwchange.NewReplica(),
+		unapplied: make(map[string]*application),
+		view:      newView(opts),
+		rng:       rand.New(rand.NewPCG(opts.Seed, score(string(opts.Self.ID)))),
 	}
 	n.pusher = newPusher(n)
 	n.comparer = &comparer{
@@ -277,6 +281,25 @@
 	return n.replica.Get(key)
 }
 
+// application is the state of a key while OnChange applies changes of it.
+type application struct {
+	// applied is the sequence number of the newest change that has been applied.
+	applied uint64
+	// calls is the number of calls of OnChange that are due or running.
+	calls int
+}
+
+// InForce reports whether a change of a key, or a newer one, has been applied by OnChange.
+func (n *Node) InForce(key string, sequence uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if a, ok := n.unapplied[key]; ok {
+		return a.applied >= sequence
+	}
+	c, ok := n.replica.Get(key)
+	return ok && c.Sequence >= sequence
+}
+
 // changesSince returns the known changes with sequence numbers greater than floor, oldest
 // first.
 func (n *Node) changesSince(floor uint64) []pwchange.Change {
@@ -351,9 +374,7 @@
 	if len(changes) == 0 {
 		return 0
 	}
-	n.mu.Lock()
-	keys := n.replica.Merge(changes)
-	n.mu.Unlock()
+	keys := n.mergeUnapplied(changes)
 	if len(keys) == 0 {
 		return 0
 	}
@@ -363,11 +384,64 @@
 	if n.opts.OnChange != nil {
 		n.notifyMu.Lock()
 		defer n.notifyMu.Unlock()
+		reached := n.sequences(keys)
 		n.opts.OnChange(keys)
+		n.recordApplied(keys, reached)
 	}
 	return len(keys)
 }
 
+// mergeUnapplied merges changes and returns the keys of the new ones, which are unapplied
+// until recordApplied is called.
+func (n *Node) mergeUnapplied(changes []pwchange.Change) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.opts.OnChange == nil {
+		return n.replica.Merge(changes)
+	}
+	before := make(map[string]uint64, len(changes))
+	for _, c := range changes {
+		old, _ := n.replica.Get(c.Key)
+		before[c.Key] = old.Sequence
+	}
+	keys := n.replica.Merge(changes)
+	for _, key := range keys {
+		a, ok := n.unapplied[key]
+		if !ok {
+			a = &application{
+				applied: before[key],
+			}
+			n.unapplied[key] = a
+		}
+		a.calls++
+	}
+	return keys
+}
+
+// sequences returns the sequence numbers of the newest changes of keys.
+func (n *Node) sequences(keys []string) []uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return lo.Map(keys, func(key string, _ int) uint64 {
+		c, _ := n.replica.Get(key)
+		return c.Sequence
+	})
+}
+
+// recordApplied records that a call of OnChange has applied the changes of keys up to the
+// sequence numbers reached, or newer ones.
+func (n *Node) recordApplied(keys []string, reached []uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for i, key := range keys {
+		a := n.unapplied[key]
+		a.applied = max(a.applied, reached[i])
+		if a.calls--; a.calls == 0 {
+			delete(n.unapplied, key)
+		}
+	}
+}
+
 // confirm records that, according to the instance by, a replica with the contents
 // of d was complete at the given time. The clock of another instance may be ahead,
 // so a time in the future is replaced by the current time.
