--- a/internal/core/pwcatalog/catalog.go
+++ b/internal/core/pwcatalog/catalog.go
@@ -125,6 +125,16 @@
 	Engine *Engine
 }
 
+// Equal reports whether two services have the same fields.
+func (s Service) Equal(other Service) bool {
+	engine, otherEngine := s.Engine, other.Engine
+	s.Engine, other.Engine = nil, nil
+	if engine == nil || otherEngine == nil {
+		return s == other && engine == otherEngine
+	}
+	return s == other && *engine == *otherEngine
+}
+
 // Workspace is a customer whose callers send requests.
 type Workspace struct {
 	Name string
@@ -163,61 +173,84 @@
 
 // Catalog is one version of the configuration, indexed for look-ups.
 type Catalog struct {
-	version int64
+	head Head
 	// routes holds the routes by lower-case host and by prefix.
-	routes   map[string]map[string]*Route
+	routes   index[*index[*Route]]
 	services map[string]*Service
 	// workspaces holds the workspaces by key.
-	workspaces  map[string]*Workspace
-	requiresKey bool
+	workspaces  index[*Workspace]
 	serviceList []Service
-	limits      Limits
 	routeCount  int
-	unreadable  []string
+	// unique is set if no two routes have the same host and prefix, and no two workspaces
+	// the same key. What one of them takes away then is not still there by another.
+	unique bool
+}
+
+// Head holds what describes a version apart from its routes, services and workspaces.
+type Head struct {
+	Version    int64
+	Limits     Limits
+	RequireKey bool
+	Unreadable []string
 }
 
 // New returns a Catalog of spec. The Catalog refers to the slices of spec, which must not
 // be changed afterwards.
 func New(spec Spec) *Catalog {
 	c := &Catalog{
-		version:     spec.Version,
-		routes:      make(map[string]map[string]*Route),
-		services:    make(map[string]*Service, len(spec.Services)),
-		workspaces:  make(map[string]*Workspace),
-		requiresKey: spec.RequireKey || len(spec.Workspaces) > 0,
-		serviceList: spec.Services,
-		limits:      spec.Limits,
-		routeCount:  len(spec.Routes),
-		unreadable:  spec.Unreadable,
+		head: Head{
+			Version:    spec.Version,
+			Limits:     spec.Limits,
+			RequireKey: spec.RequireKey || len(spec.Workspaces) > 0,
+			Unreadable: spec.Unreadable,
+		},
+		routeCount: len(spec.Routes),
+		unique:     true,
 	}
+	c.setServices(spec.Services)
+	byHost := make(map[string]map[string]*Route)
 	for i := range spec.Routes {
 		r := &spec.Routes[i]
 		host := strings.ToLower(r.Host)
-		if c.routes[host] == nil {
-			c.routes[host] = make(map[string]*Route)
+		if byHost[host] == nil {
+			byHost[host] = make(map[string]*Route)
 		}
-		c.routes[host][r.Prefix] = r
+		c.unique = c.unique && byHost[host][r.Prefix] == nil
+		byHost[host][r.Prefix] = r
 	}
-	for i := range spec.Services {
-		c.services[spec.Services[i].Name] = &spec.Services[i]
+	hosts := make(map[string]*index[*Route], len(byHost))
+	for host, routes := range byHost {
+		ix := newIndex(routes)
+		hosts[host] = &ix
 	}
+	c.routes = newIndex(hosts)
+	byKey := make(map[string]*Workspace)
 	for i := range spec.Workspaces {
-		ws := &spec.Workspaces[i].Workspace
 		for _, key := range spec.Workspaces[i].Keys {
 			// Requests without a key have the empty one.
 			if key != "" {
-				c.workspaces[key] = ws
+				c.unique = c.unique && byKey[key] == nil
+				byKey[key] = &spec.Workspaces[i].Workspace
 			}
 		}
 	}
+	c.workspaces = newIndex(byKey)
 	return c
 }
 
+func (c *Catalog) setServices(services []Service) {
+	c.serviceList = services
+	c.services = make(map[string]*Service, len(services))
+	for i := range services {
+		c.services[services[i].Name] = &services[i]
+	}
+}
+
 // Version returns the version. It increases with each change of the configuration.
-func (c *Catalog) Version() int64 { return c.version }
+func (c *Catalog) Version() int64 { return c.head.Version }
 
 // Limits returns the limits on what callers send.
-func (c *Catalog) Limits() Limits { return c.limits }
+func (c *Catalog) Limits() Limits { return c.head.Limits }
 
 // RouteCount returns the number of routes.
 func (c *Catalog) RouteCount() int { return c.routeCount }
@@ -225,11 +258,11 @@
 // Unreadable describes the parts of the configuration that could not be read. They may
 // hold routes and keys, so that what the catalog does not know may still be allowed. The
 // caller must not change the slice.
-func (c *Catalog) Unreadable() []string { return c.unreadable }
+func (c *Catalog) Unreadable() []string { return c.head.Unreadable }
 
 // RequiresKey reports whether requests need a key. It does not depend on whether any
 // workspace has one: the revocation of the last key must not admit everybody.
-func (c *Catalog) RequiresKey() bool { return c.requiresKey }
+func (c *Catalog) RequiresKey() bool { return c.head.RequireKey }
 
 // Route returns the route of the host whose prefix is the longest that path begins
 // with. Prefixes end with a slash, so only the parts of path that end with a slash are
@@ -238,9 +271,12 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	byPrefix := c.routes[strings.ToLower(host)]
+	byPrefix, ok := c.routes.get(strings.ToLower(host))
+	if !ok {
+		return nil, false
+	}
 	for end := strings.LastIndexByte(path, '/'); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		if r, ok := byPrefix[path[:end+1]]; ok {
+		if r, ok := byPrefix.get(path[:end+1]); ok {
 			return r, true
 		}
 	}
@@ -258,8 +294,7 @@
 
 // WorkspaceByKey returns the workspace that a key belongs to.
 func (c *Catalog) WorkspaceByKey(key string) (*Workspace, bool) {
-	ws, ok := c.workspaces[key]
-	return ws, ok
+	return c.workspaces.get(key)
 }
 
 // PickService returns the service of a request, chosen by weight with draw, a random
--- a/internal/core/pwcatalog/diff.go
+++ b/internal/core/pwcatalog/diff.go
@@ -10,7 +10,7 @@
 // Problems returns a message for each fault that makes the configuration unusable, in a
 // stable order.
 func (c *Catalog) Problems() []string {
-	out := slices.Clone(c.unreadable)
+	out := slices.Clone(c.head.Unreadable)
 	for _, r := range c.sortedRoutes() {
 		name := "route " + r.Name
 		if r.Prefix == "" || r.Prefix[0] != '/' || r.Prefix[len(r.Prefix)-1] != '/' {
@@ -36,11 +36,21 @@
 	return out
 }
 
+// routeAt returns the route of a host and prefix, or nil.
+func (c *Catalog) routeAt(host, prefix string) *Route {
+	byPrefix, ok := c.routes.get(strings.ToLower(host))
+	if !ok {
+		return nil
+	}
+	r, _ := byPrefix.get(prefix)
+	return r
+}
+
 // sortedRoutes returns the routes sorted by host and prefix.
 func (c *Catalog) sortedRoutes() []*Route {
 	var out []*Route
-	for _, byPrefix := range c.routes {
-		for _, r := range byPrefix {
+	for _, byPrefix := range c.routes.all() {
+		for _, r := range byPrefix.all() {
 			out = append(out, r)
 		}
 	}
@@ -62,14 +72,14 @@
 // never included.
 func (c *Catalog) Diff(newer *Catalog) []string {
 	out := []string{}
-	if c.version != newer.version {
-		out = append(out, fmt.Sprintf("version %d to %d", c.version, newer.version))
+	if c.head.Version != newer.head.Version {
+		out = append(out, fmt.Sprintf("version %d to %d", c.head.Version, newer.head.Version))
 	}
-	if newer.version < c.version {
+	if newer.head.Version < c.head.Version {
 		out = append(out, "the version falls; gateways ignore it")
 	}
 	for _, r := range c.sortedRoutes() {
-		n := newer.routes[strings.ToLower(r.Host)][r.Prefix]
+		n := newer.routeAt(r.Host, r.Prefix)
 		switch {
 		case n == nil:
 			out = append(out, fmt.Sprintf("- route %s %s%s", r.Name, r.Host, r.Prefix))
@@ -78,7 +88,7 @@
 		}
 	}
 	for _, r := range newer.sortedRoutes() {
-		if c.routes[strings.ToLower(r.Host)][r.Prefix] == nil {
+		if c.routeAt(r.Host, r.Prefix) == nil {
 			out = append(out, fmt.Sprintf("+ route %s %s%s", r.Name, r.Host, r.Prefix))
 		}
 	}
@@ -97,17 +107,17 @@
 			out = append(out, "+ service "+newer.serviceList[i].Name)
 		}
 	}
-	if c.requiresKey != newer.requiresKey {
-		out = append(out, fmt.Sprintf("requests need a key: %t to %t", c.requiresKey, newer.requiresKey))
+	if c.head.RequireKey != newer.head.RequireKey {
+		out = append(out, fmt.Sprintf("requests need a key: %t to %t", c.head.RequireKey, newer.head.RequireKey))
 	}
 	added, removed := 0, 0
-	for key := range newer.workspaces {
-		if c.workspaces[key] == nil {
+	for key := range newer.workspaces.all() {
+		if _, ok := c.workspaces.get(key); !ok {
 			added++
 		}
 	}
-	for key := range c.workspaces {
-		if newer.workspaces[key] == nil {
+	for key := range c.workspaces.all() {
+		if _, ok := newer.workspaces.get(key); !ok {
 			removed++
 		}
 	}
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -276,6 +276,8 @@
 	models    map[string]pwcost.Model
 	coldRate  map[string]float64
 	evacuated map[string]bool
+	// configured holds the services of the configuration.
+	configured []pwcatalog.Service
 	// serviceSlowdowns holds the mean slowdown over all servers of each service.
 	serviceSlowdowns map[string]*movingMean
 	// resets holds the connections lost within resetWindow, at most one per server.
@@ -329,8 +331,12 @@
 }
 
 // Configure replaces the engine models and the request rates of cold servers with
-// those of a configuration.
+// those of a configuration. The caller must not change services afterwards.
 func (f *Fleet) Configure(services []pwcatalog.Service) {
+	if slices.EqualFunc(f.configured, services, pwcatalog.Service.Equal) {
+		return
+	}
+	f.configured = services
 	clear(f.models)
 	clear(f.coldRate)
 	f.cells.stale = true
