Measure how long the work of a process waits for its turn

Events of streams wait while a configuration or the list of servers is read on a tenth of a core, and no metric told so. The gauges state the longest wait since the metrics were last read, of all work and of that beside each table.

--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -406,6 +406,7 @@
 		p.obs.SetGauge("cell_index", int64(cell.Index))
 		p.obs.SetGauge("cell_count", int64(cell.Count))
 		p.obs.SetGauge("cell_peers", int64(len(cellPeers)))
+		p.obs.ExportTurnWaits()
 		if err := p.obs.WriteMetrics(w); err != nil {
 			p.obs.Count("metrics_write_errors", 1)
 		}
--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -319,8 +319,8 @@
 	if f.inOutage {
 		wait, timeout = 0, f.nextProbeTimeout()
 	}
-	callCtx, cancel := f.withCallTimeout(ctx, timeout)
-	defer cancel()
+	callCtx, timer := f.withCallTimeout(ctx, timeout)
+	defer timer.stop()
 	snap, err := f.source.Watch(callCtx, f.version, wait)
 	if err != nil {
 		return err
@@ -336,6 +336,7 @@
 	f.applyNewer(snap.Items)
 	f.version = max(f.version, snap.Version)
 	f.removeUnconfirmed()
+	timer.observeTurns(f.cfg.Name)
 	f.crowded = snap.Superseded > 0
 	if len(snap.Items) > 0 {
 		sleep(ctx, time.Duration(f.batchDelay.Load()))
@@ -367,8 +368,8 @@
 	if f.inOutage && f.hasListing {
 		timeout = f.nextProbeTimeout()
 	}
-	callCtx, cancel := f.withCallTimeout(ctx, timeout)
-	defer cancel()
+	callCtx, timer := f.withCallTimeout(ctx, timeout)
+	defer timer.stop()
 	snap, err := f.source.List(callCtx)
 	if err != nil {
 		return err
@@ -421,6 +422,7 @@
 	f.version = snap.Version
 	f.hasListing, f.awaitsRestored = true, false
 	f.removeUnconfirmed()
+	timer.observeTurns(f.cfg.Name)
 	if f.crowded = f.crowded && len(items) > 0; f.crowded {
 		sleep(ctx, time.Duration(f.batchDelay.Load()))
 	}
--- a/internal/node/pwcontrol/newest_test.go
+++ b/internal/node/pwcontrol/newest_test.go
@@ -212,8 +212,8 @@
 func TestLongResponseIsReadToItsEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := NewFollower[string](nil, Config{}, pwobserve.Discard(), nil)
-		ctx, cancel := f.withCallTimeout(t.Context(), time.Second)
-		defer cancel()
+		ctx, timer := f.withCallTimeout(t.Context(), time.Second)
+		defer timer.stop()
 		startedAt := time.Now()
 		for range 4 {
 			time.Sleep(900 * time.Millisecond)
@@ -226,8 +226,8 @@
 		if took := time.Since(startedAt); took != 3600*time.Millisecond+DefaultStallTimeout {
 			t.Errorf("a response that stands still was ended after %s", took)
 		}
-		ctx, cancel = f.withCallTimeout(t.Context(), time.Second)
-		defer cancel()
+		ctx, timer = f.withCallTimeout(t.Context(), time.Second)
+		defer timer.stop()
 		startedAt = time.Now()
 		for ctx.Err() == nil {
 			time.Sleep(500 * time.Millisecond)
--- a/internal/node/pwobserve/observe.go
+++ b/internal/node/pwobserve/observe.go
@@ -39,6 +39,7 @@
 	skipRoutine func() bool
 	// skippedLines counts the lines skipped since TakeSkippedLines was called.
 	skippedLines atomic.Int64
+	turns        turnWaits
 }
 
 // New returns an observer that writes log lines to w. Every line contains the
