--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -337,7 +337,9 @@
 	f.version = max(f.version, snap.Version)
 	f.removeUnconfirmed()
 	timer.observeTurns(f.cfg.Name)
-	f.crowded = snap.Superseded > 0
+	if f.crowded = snap.Superseded > 0; f.crowded {
+		f.obs.Count("store_versions_skipped", int64(snap.Superseded))
+	}
 	if len(snap.Items) > 0 {
 		sleep(ctx, time.Duration(f.batchDelay.Load()))
 	}
