--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -142,8 +142,7 @@
 	// DefaultStallTimeout is how long a response that has begun may stand still. It covers
 	// one lost packet on a link between data centres.
 	DefaultStallTimeout = 1500 * time.Millisecond
-	// DefaultTransferTimeout bounds a response that arrives slowly: the largest one takes
-	// 2.4 s on a link of 14 Mbit/s that is otherwise idle.
+	// DefaultTransferTimeout bounds a response that arrives slowly.
 	DefaultTransferTimeout = 8 * time.Second
 )
 
@@ -337,7 +336,9 @@
 	f.version = max(f.version, snap.Version)
 	f.removeUnconfirmed()
 	timer.observeTurns(f.cfg.Name)
-	f.crowded = snap.Superseded > 0
+	if f.crowded = snap.Superseded > 0; f.crowded {
+		f.obs.Count("store_versions_skipped", int64(snap.Superseded))
+	}
 	if len(snap.Items) > 0 {
 		sleep(ctx, time.Duration(f.batchDelay.Load()))
 	}
