Bound what is held for callers and servers that read slowly

Cause, found with tests on loopback connections on, all of which failed there: 300 callers that stop reading held their slots until the deadline, and the watchdog blamed two sound servers 300 times; a caller that paused for 2 s cost a second run; callers that announced bodies in chunks and sent a byte each took the memory of others (49 of 60 and another workspace refused); a refusal waited for the body that it refused; an upload unread for a second broke a sound connection (TCP user timeout); a late reader without chunks got an orderly end within its response.

Change: pwholding counts bytes by connection, by workspace and in all, and bodies as they arrive. A write to the caller of a stream ends after slow_readers.unread_ms (3 s), pauses the watchdog and does not count as a pause of the engine. Where there are no chunks, the reset is set before the first byte, because net/http closes the connection itself when a write fails. Bodies over 16 KB may stay unread until the deadline.

Partial: bytes of request bodies in flight to a server are not bounded.

--- a/internal/cli/pwgatewaycommand/tuning.go
+++ b/internal/cli/pwgatewaycommand/tuning.go
@@ -51,6 +51,20 @@
 	CellProcesses int     `json:"cell_processes"`
 	CellServers   int     `json:"cell_servers"`
 	LoadAgeMS     float64 `json:"load_age_ms"`
+	// SlowReaders bounds what is held for callers and servers that read or send slowly.
+	SlowReaders SlowReadersTuning `json:"slow_readers"`
+}
+
+// SlowReadersTuning holds the settings for callers and servers that read or send slowly.
+type SlowReadersTuning struct {
+	// UnreadMS is how long the caller of a stream may read nothing before the stream is ended.
+	UnreadMS float64 `json:"unread_ms"`
+	// MemoryShare is the share of the machine's memory that running requests may use.
+	// CallerShare and WorkspaceShare are the shares of that for one connection and for one
+	// workspace.
+	MemoryShare    float64 `json:"memory_share"`
+	CallerShare    float64 `json:"caller_share"`
+	WorkspaceShare float64 `json:"workspace_share"`
 }
 
 // LoadTuning reads the tuning file at path. An empty path gives the defaults.
@@ -108,6 +122,10 @@
 		{name: "cell_processes", value: float64(t.CellProcesses), max: 1_000_000},
 		{name: "cell_servers", value: float64(t.CellServers), max: 1_000_000},
 		{name: "load_age_ms", value: t.LoadAgeMS, max: maxMS},
+		{name: "slow_readers.unread_ms", value: t.SlowReaders.UnreadMS, max: maxMS},
+		{name: "slow_readers.memory_share", value: t.SlowReaders.MemoryShare, max: 1},
+		{name: "slow_readers.caller_share", value: t.SlowReaders.CallerShare, max: 1},
+		{name: "slow_readers.workspace_share", value: t.SlowReaders.WorkspaceShare, max: 1},
 	} {
 		if f.value < 0 || f.value > f.max {
 			return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
@@ -141,5 +159,11 @@
 		StallShare: t.StallShare,
 		WaitShare:  t.WaitShare,
 		MaxWaiting: t.MaxWaiting,
+		SlowReaders: pwgateway.SlowReaders{
+			UnreadTimeout:  time.Duration(t.SlowReaders.UnreadMS * float64(time.Millisecond)),
+			MemoryShare:    t.SlowReaders.MemoryShare,
+			CallerShare:    t.SlowReaders.CallerShare,
+			WorkspaceShare: t.SlowReaders.WorkspaceShare,
+		},
 	}
 }
--- a/internal/node/pwgateway/caller.go
+++ b/internal/node/pwgateway/caller.go
@@ -48,11 +48,16 @@
 	return closed || err != nil
 }
 
-// resetOnClose makes the close of the caller's connection a reset. Without chunks, the end of
-// the connection would be that of a whole response.
-func resetOnClose(ctx context.Context) {
+// resetOnClose makes the close of the caller's connection a reset, or an orderly end again.
+// Without chunks or a length, an orderly end would be that of a whole response. It must be set
+// before a response is written: the server itself closes the connection when a write fails.
+func resetOnClose(ctx context.Context, reset bool) {
 	if c, ok := ctx.Value(callerConnKey{}).(*net.TCPConn); ok {
-		// The connection may be closed already.
-		_ = c.SetLinger(0)
+		linger := -1
+		if reset {
+			linger = 0
+		}
+		// The caller may have closed the connection.
+		_ = c.SetLinger(linger)
 	}
 }
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -16,6 +15,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwholding"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
 
@@ -38,6 +38,13 @@
 	minSendTime = 5 * time.Millisecond
 	// maxRetryAfter is the longest Retry-After that callers get.
 	maxRetryAfter = 5 * time.Second
+	// refusedBodyTime is how long the body of a request that is refused before it was read
+	// may take to arrive. A connection that is closed before that resets, and the refusal can
+	// be lost.
+	refusedBodyTime = 250 * time.Millisecond
+	// unknownWorkspace is the workspace for which memory is held for callers without a known
+	// key.
+	unknownWorkspace = "(unknown)"
 )
 
 // exchange is one request of a caller and the response to it.
@@ -59,7 +66,9 @@
 	priority        [2]int
 	stripCredential bool
 	body            []byte
-	fingerprint     uint64
+	// held is the memory that is held for the request.
+	held        *pwholding.Holder
+	fingerprint uint64
 	// sharedParts holds the hashes of the parts of the prompt that other requests may
 	// share.
 	sharedParts []uint64
@@ -103,8 +112,9 @@
 		arrivedAt:    time.Now(),
 		triedServers: make(map[string]bool),
 		conn: &callerConn{
-			rc:  http.NewResponseController(w),
-			obs: g.obs,
+			rc:       http.NewResponseController(w),
+			obs:      g.obs,
+			shutdown: g.shutdown,
 		},
 	}
 	defer x.conn.end()
@@ -114,13 +124,13 @@
 		// The route is looked up again after the body.
 		x.route, _ = c.Route(r.Host, requestPath(r))
 	}
-	size := x.maxBodySize(c)
-	if !g.reserveRequestMemory(size) {
-		x.refuse(http.StatusServiceUnavailable, newRefusal(http.StatusServiceUnavailable, pwverdict.CauseQueueFull,
-			"running requests use the %d bytes of memory that they may take", g.cfg.Policy.MaxRequestMemory))
+	x.held = g.holdings.Open(x.memoryOwner(c))
+	defer x.held.Close()
+	if err := x.reserveRequestMemory(); err != nil {
+		x.conn.setReadDeadline(time.Now().Add(refusedBodyTime))
+		x.refuse(statusOf(err), err)
 		return
 	}
-	defer g.releaseRequestMemory(size)
 	if err := x.readBody(c); err != nil {
 		x.refuse(statusOf(err), err)
 		return
@@ -179,27 +189,32 @@
 	return defaultMaxBodyBytes
 }
 
-// maxBodySize returns the most memory that the body of the request can take.
-func (x *exchange) maxBodySize(c *pwcatalog.Catalog) int64 {
-	if n := x.r.ContentLength; n >= 0 {
-		return min(n, bodyLimit(c))
+// memoryOwner returns the workspace for which the memory of the request is held, or "" if
+// the configuration has no workspaces.
+func (x *exchange) memoryOwner(c *pwcatalog.Catalog) string {
+	if c == nil || !c.RequiresKey() {
+		return ""
+	}
+	if ws, ok := c.WorkspaceByKey(x.metadata.Credential); ok {
+		return ws.Name
 	}
-	return bodyLimit(c)
+	return unknownWorkspace
 }
 
-// reserveRequestMemory reserves memory for a request with a body of the given size.
-// It returns false when running requests have used up the limit.
-func (g *Gateway) reserveRequestMemory(size int64) bool {
-	size += requestOverheadBytes
-	if g.reservedMemory.Add(size) <= g.cfg.Policy.MaxRequestMemory {
-		return true
+// reserveRequestMemory reserves the memory of the request besides its body. It returns a
+// refusal if none is left.
+func (x *exchange) reserveRequestMemory() error {
+	if err := x.held.Acquire(pwholding.Requests, requestOverheadBytes); err != nil {
+		return x.newMemoryRefusal(err)
 	}
-	g.reservedMemory.Add(-size)
-	return false
+	return nil
 }
 
-func (g *Gateway) releaseRequestMemory(size int64) {
-	g.reservedMemory.Add(-size - requestOverheadBytes)
+// newMemoryRefusal returns the refusal of a request that has not been sent and for which no
+// memory is left.
+func (x *exchange) newMemoryRefusal(err error) error {
+	x.g.obs.Count("requests_refused_memory", 1)
+	return newRefusal(http.StatusServiceUnavailable, pwverdict.CauseQueueFull, "%v", err)
 }
 
 func (x *exchange) readBody(c *pwcatalog.Catalog) error {
@@ -208,7 +223,9 @@
 	}
 	stop := x.limitBodyTime()
 	limit := bodyLimit(c)
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	// Memory is reserved as the body arrives: callers that send slowly hold what they have
+	// sent, and not what they may send.
+	body, err := readHeld(http.MaxBytesReader(x.w, x.r.Body, limit), x.held, pwholding.Bodies, mostBytes(x.r.ContentLength, limit))
 	stop()
 	if err == nil {
 		x.conn.endBody()
@@ -217,7 +234,10 @@
 		x.w.Header().Set("Connection", "close")
 	}
 	var tooLarge *http.MaxBytesError
+	var full *pwholding.FullError
 	switch {
+	case errors.As(err, &full):
+		return x.newMemoryRefusal(err)
 	case errors.As(err, &tooLarge):
 		return newRefusal(http.StatusRequestEntityTooLarge, pwverdict.CauseBadRequest, "the request body exceeds %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded) && x.g.shutdown.hasBegun():
@@ -437,18 +457,20 @@
 // finishWithError ends a request that failed. A caller that has left, or has the head of a
 // streamed response already, gets no response; its connection is aborted.
 func (x *exchange) finishWithError(ctx context.Context, err error) {
+	if errors.Is(err, errUnread) {
+		x.g.obs.Count("streams_ended_unread", 1)
+		x.logOutcome("cut", err)
+		x.abort()
+	}
 	if x.r.Context().Err() != nil || errors.Is(err, errCallerLeft) {
 		x.logOutcome("caller_left", err)
 		// Without a response of the handler, the server would write an empty 200, and the
 		// caller may still read.
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	if x.headWritten {
 		x.logOutcome("cut", err)
-		if !x.r.ProtoAtLeast(1, 1) {
-			resetOnClose(x.r.Context())
-		}
-		panic(http.ErrAbortHandler)
+		x.abort()
 	}
 	var e *pwverdict.Error
 	if !errors.As(err, &e) {
@@ -464,6 +486,17 @@
 	x.refuse(status, e)
 }
 
+// abort ends the connection so that a response which has begun can't look complete.
+func (x *exchange) abort() {
+	if !x.canChunk() {
+		resetOnClose(x.r.Context(), true)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// canChunk reports whether the caller can get a response in chunks, which show its end.
+func (x *exchange) canChunk() bool { return x.r.ProtoAtLeast(1, 1) }
+
 // refuse writes an error response of the gateway.
 func (x *exchange) refuse(status int, err error) {
 	h := x.w.Header()
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -22,6 +22,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwholding"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwdeployment"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
@@ -145,8 +146,8 @@
 	shutdown *shutdown
 
 	catalog atomic.Pointer[pwcatalog.Catalog]
-	// reservedMemory is the memory reserved for running requests, in bytes.
-	reservedMemory atomic.Int64
+	// holdings is the memory that is held for running requests.
+	holdings *pwholding.Ledger
 	// storeContact returns when the store last responded.
 	storeContact func() time.Time
 }
@@ -155,7 +156,7 @@
 // with 503 until SetCatalog is called.
 func New(cfg Config, obs *pwobserve.Observer) *Gateway {
 	if cfg.Policy.MaxRequestMemory <= 0 {
-		cfg.Policy.MaxRequestMemory = cfg.Deployment.MemoryBytes / requestMemoryDivisor
+		cfg.Policy.MaxRequestMemory = cfg.Policy.requestMemory(cfg.Deployment.MemoryBytes)
 	}
 	cfg.Policy = cfg.Policy.withDefaults()
 	g := &Gateway{
@@ -166,6 +167,7 @@
 		obs:          obs,
 		storeContact: time.Now,
 		shutdown:     newShutdown(),
+		holdings:     pwholding.New(cfg.Policy.holdings()),
 	}
 	g.crashes = newCrashTracker(obs)
 	g.dispatcher = newDispatcher(pwfleet.New(cfg.Fleet), cfg.Deployment, cfg.Policy, obs)
@@ -281,6 +283,7 @@
 		}
 		g.pool.CloseExpired()
 		g.dispatcher.maintain(time.Now())
+		g.reportHoldings()
 		if n := g.obs.TakeSkippedLines(); n > 0 {
 			g.obs.LogEvent("lines_left_out", log.Fields{
 				"count": n,
@@ -289,6 +292,13 @@
 	}
 }
 
+// reportHoldings reports the memory that is held for callers.
+func (g *Gateway) reportHoldings() {
+	for _, c := range pwholding.Classes() {
+		g.obs.SetGauge("held_bytes_"+c.String(), g.holdings.Held(c))
+	}
+}
+
 // Run runs the gateway's background work until ctx is done.
 func (g *Gateway) Run(ctx context.Context) {
 	defer g.pool.Close()
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -5,15 +5,29 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwholding"
 )
 
 // maintenanceInterval is how often old connections and inactive peers are removed.
 const maintenanceInterval = 500 * time.Millisecond
 
-// requestMemoryDivisor divides the machine's memory to give the part that running
-// requests may use by default. The rest is left to the garbage collector and to
-// everything else in the process.
-const requestMemoryDivisor = 3
+// defaultMemoryShare is the share of the machine's memory that running requests may use. The
+// rest is left to the garbage collector and to everything else in the process.
+const defaultMemoryShare = 1.0 / 3
+
+// SlowReaders holds the limits on what is held for callers and servers that read slowly, and
+// for callers that send slowly. Zero fields take their defaults.
+type SlowReaders struct {
+	// UnreadTimeout is how long the caller of a stream may read nothing before the stream
+	// is ended.
+	UnreadTimeout time.Duration
+	// MemoryShare is the share of the machine's memory that running requests may use, if
+	// Policy.MaxRequestMemory is 0. CallerShare and WorkspaceShare are the shares of that
+	// for one connection and for one workspace.
+	MemoryShare    float64
+	CallerShare    float64
+	WorkspaceShare float64
+}
 
 // Policy holds the timeouts and limits of requests. Zero fields take their defaults.
 type Policy struct {
@@ -41,6 +55,7 @@
 	MaxWaiting int
 	// MaxRequestMemory limits the memory of running requests, in bytes.
 	MaxRequestMemory int64
+	SlowReaders      SlowReaders
 	// NoServerWaitShare is the part of the route's target, or of the time that the caller
 	// waits if there is none, that a request waits while no server is eligible.
 	NoServerWaitShare float64
@@ -59,12 +74,31 @@
 	pwdefault.SetUnlessPositive(&p.SafeTimeoutTargetMultiple, 1.6)
 	pwdefault.SetUnlessPositive(&p.NoServerWaitShare, 0.125) // a later refusal leaves the caller no time to retry
 	pwdefault.SetUnlessPositive(&p.WaitShare, 0.35)
+	pwdefault.SetUnlessPositive(&p.SlowReaders.UnreadTimeout, 3*time.Second)
+	pwdefault.SetUnlessPositive(&p.SlowReaders.CallerShare, 1.0/3)
+	pwdefault.SetUnlessPositive(&p.SlowReaders.WorkspaceShare, 0.8)
 	pwdefault.SetUnlessPositive(&p.MaxRequestMemory, 64<<20)
 	pwdefault.SetUnlessPositive(&p.MaxRejections, 12) // while the store is unreachable, each server that is leaving may reject once
 	pwdefault.SetUnlessPositive(&p.MaxWaiting, 2000)
 	return p
 }
 
+// requestMemory returns the memory that running requests may use on a machine, in bytes.
+func (p Policy) requestMemory(machineBytes int64) int64 {
+	share := p.SlowReaders.MemoryShare
+	pwdefault.SetUnlessPositive(&share, defaultMemoryShare)
+	return int64(share * float64(machineBytes))
+}
+
+// holdings returns the bounds on the memory that is held for callers.
+func (p Policy) holdings() pwholding.Config {
+	return pwholding.Config{
+		TotalBytes:     p.MaxRequestMemory,
+		CallerBytes:    int64(p.SlowReaders.CallerShare * float64(p.MaxRequestMemory)),
+		WorkspaceBytes: int64(p.SlowReaders.WorkspaceShare * float64(p.MaxRequestMemory)),
+	}
+}
+
 // abandonTime returns how long a caller waits for the next event of a stream.
 func (p Policy) abandonTime(r *pwcatalog.Route) time.Duration {
 	return max(p.MinAbandonTime,
--- a/internal/node/pwgateway/send.go
+++ b/internal/node/pwgateway/send.go
@@ -5,12 +5,14 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwholding"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
 )
@@ -337,9 +339,10 @@
 // deliverBuffered reads the complete response and then delivers it.
 func (s *send) deliverBuffered(resp *http.Response) (bool, error) {
 	x := s.x
-	body, release, err := x.g.readResponseBody(resp.Body)
-	defer release()
-	if errors.Is(err, errNoResponseMemory) {
+	body, err := readResponseBody(resp, x.held)
+	defer x.held.Release(pwholding.Responses, maxResponseBytes)
+	var full *pwholding.FullError
+	if errors.As(err, &full) {
 		return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseQueueFull, "buffering the response of %s", s.plan.Server.ID)
 	}
 	if err != nil {
@@ -366,10 +369,13 @@
 		x.g.crashes.recordAnswer(s.plan.Server, x.sharedParts)
 	}
 	copyHeaders(x.w.Header(), resp.Header)
+	if len(body) > 0 && !x.canChunk() {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	x.writeStatus(resp.StatusCode, x.deadline.Add(writeGrace))
 	if _, err := x.w.Write(body); err != nil {
 		x.logOutcome("caller_left", err)
-		return false, nil
+		x.abort()
 	}
 	x.logStatus("answered", resp.StatusCode, nil)
 	return false, nil
--- a/internal/node/pwgateway/shutdown.go
+++ b/internal/node/pwgateway/shutdown.go
@@ -205,8 +205,9 @@
 // callerConn sets deadlines on the connection of a caller until the exchange has ended.
 // Then the connection may carry another request.
 type callerConn struct {
-	rc  *http.ResponseController
-	obs *pwobserve.Observer
+	rc       *http.ResponseController
+	obs      *pwobserve.Observer
+	shutdown *shutdown
 
 	mu sync.Mutex
 	// bodyEnded and ended are set when no deadlines for reading, and no deadlines at all,
@@ -244,6 +245,16 @@
 	}
 }
 
+// extendWriteDeadline is like setWriteDeadline for a response that is being written. After the
+// end of the shutdown, its last deadline stays.
+func (c *callerConn) extendWriteDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.shutdown.isOver() && !c.ended && c.rc.SetWriteDeadline(t) != nil {
+		c.obs.Count("write_deadline_errors", 1)
+	}
+}
+
 // end prevents further deadlines.
 func (c *callerConn) end() {
 	c.mu.Lock()
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwholding"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwupstream"
 )
@@ -75,14 +77,58 @@
 // Nothing shows that its server had finished it.
 var errNoEvents = errors.New("the connection ended before the first event")
 
-// readEvent reads up to the blank line that ends an event. Blank lines and comments
+// errUnread is returned for a stream whose caller does not read it.
+var errUnread = errors.New("the caller does not read the stream")
+
+const (
+	// freeEventBytes is the part of an event that requestOverheadBytes covers.
+	freeEventBytes = 4 << 10
+	// writeStepBytes is the size of the parts in which a large event is written. Each of
+	// them shows that the caller reads.
+	writeStepBytes = 4 << 10
+)
+
+// eventReader reads the events of a stream.
+type eventReader struct {
+	br *bufio.Reader
+	// held accounts for reserved bytes beyond freeEventBytes.
+	held     *pwholding.Holder
+	reserved int64
+}
+
+// reserve reserves the memory for an event of n bytes.
+func (r *eventReader) reserve(n int) error {
+	missing := int64(n) - freeEventBytes - r.reserved
+	if missing <= 0 {
+		return nil
+	}
+	missing = (missing + freeEventBytes - 1) / freeEventBytes * freeEventBytes
+	if err := r.held.Acquire(pwholding.Events, missing); err != nil {
+		return err
+	}
+	r.reserved += missing
+	return nil
+}
+
+// release releases the memory of an event that has been written.
+func (r *eventReader) release() {
+	if r.reserved > 0 {
+		r.held.Release(pwholding.Events, r.reserved)
+		r.reserved = 0
+	}
+}
+
+// read reads up to the blank line that ends an event. Blank lines and comments
 // before an event are returned with it. At the end of the stream it returns io.EOF and
 // the bytes that were left.
-func readEvent(br *bufio.Reader) (event, error) {
+func (r *eventReader) read() (event, error) {
 	var ev event
 	hasLine, lineStart := false, 0
 	for {
-		part, err := br.ReadSlice('\n')
+		part, err := r.br.ReadSlice('\n')
+		if full := r.reserve(len(ev.raw) + len(part)); full != nil {
+			return ev, full
+		}
 		ev.raw = append(ev.raw, part...)
 		if len(ev.raw) > maxEventBytes {
 			return ev, fmt.Errorf("an event exceeds %d bytes", maxEventBytes)
@@ -128,9 +174,19 @@
 func (s *send) deliverStream(resp *http.Response) (bool, error) {
 	x := s.x
 	br := bufio.NewReader(resp.Body)
-	rc := http.NewResponseController(x.w)
+	events := &eventReader{
+		br:   br,
+		held: x.held,
+	}
+	defer events.release()
 	for {
-		ev, err := readEvent(br)
+		events.release()
+		ev, err := events.read()
+		var full *pwholding.FullError
+		if errors.As(err, &full) {
+			// The server is not to blame.
+			return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseQueueFull, "relaying an event of %s", s.plan.Server.ID)
+		}
 		if errors.Is(err, io.EOF) && !ev.begun() {
 			if x.eventCount == s.eventsBefore && !pwupstream.IsDelimited(resp) {
 				return s.handleBrokenStream(errNoEvents)
@@ -157,24 +213,60 @@
 		if !x.headWritten {
 			s.writeHead(resp)
 		}
-		if _, err := x.w.Write(ev.raw); err != nil {
-			return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseCancelled, "writing to the caller")
+		gap := x.recordGap()
+		if err := s.writeStream(ev.raw, br.Buffered() == 0 || !hasBufferedEvent(br)); err != nil {
+			return false, err
 		}
 		if ev.id != "" {
 			x.lastEventID = ev.id
 		}
 		x.eventCount++
-		s.watchdog.recordActivity()
-		if s.gaps.add(x.recordGap()) && s.shouldLeaveSlowServer(s.gaps.shortest()) {
+		if s.gaps.add(gap) && s.shouldLeaveSlowServer(s.gaps.shortest()) {
 			return s.leaveSlowServer()
 		}
-		if br.Buffered() > 0 && hasBufferedEvent(br) {
-			continue
-		}
-		if err := rc.Flush(); err != nil {
-			return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseCancelled, "writing to the caller")
+	}
+}
+
+// writeStream writes a part of a stream to the caller and flushes it if flush is set. While
+// the caller does not read, nothing more is read from the server, which must not be taken for
+// a silent or slow one then.
+func (s *send) writeStream(p []byte, flush bool) error {
+	x := s.x
+	s.watchdog.pause()
+	defer s.watchdog.resume()
+	defer func() { x.lastEventAt = time.Now() }()
+	for first := true; first || len(p) > 0; first = false {
+		x.conn.extendWriteDeadline(x.unreadDeadline())
+		n := min(len(p), writeStepBytes)
+		if _, err := x.w.Write(p[:n]); err != nil {
+			return x.newWriteError(err)
 		}
+		p = p[n:]
+	}
+	if !flush {
+		return nil
+	}
+	if err := x.conn.rc.Flush(); err != nil {
+		return x.newWriteError(err)
+	}
+	return nil
+}
+
+// unreadDeadline returns the time by which the caller must have read what is written now.
+func (x *exchange) unreadDeadline() time.Time {
+	latest := x.deadline.Add(writeGrace)
+	if t := time.Now().Add(x.g.cfg.Policy.SlowReaders.UnreadTimeout); t.Before(latest) {
+		return t
+	}
+	return latest
+}
+
+// newWriteError returns the error for a stream that can't be written to the caller.
+func (x *exchange) newWriteError(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = fmt.Errorf("%w: %w", errUnread, err)
 	}
+	return pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseCancelled, "writing to the caller")
 }
 
 // checkEvent returns why an event must not be delivered, or nil. Its order is not checked.
@@ -223,6 +315,9 @@
 func (s *send) writeHead(resp *http.Response) {
 	x := s.x
 	x.headWritten = true
+	if !x.canChunk() {
+		resetOnClose(x.r.Context(), true)
+	}
 	copyHeaders(x.w.Header(), resp.Header)
 	x.writeStatus(resp.StatusCode, x.deadline.Add(writeGrace))
 }
@@ -256,8 +351,11 @@
 		// A stream without any event is complete when its server ends it.
 		s.writeHead(resp)
 	}
-	if _, err := x.w.Write(rest); err != nil {
-		return false, pwverdict.Wrap(err, pwverdict.MayHaveRun, pwverdict.CauseCancelled, "writing to the caller")
+	if err := s.writeStream(rest, !x.canChunk()); err != nil {
+		return false, err
+	}
+	if !x.canChunk() {
+		resetOnClose(x.r.Context(), false)
 	}
 	s.releaseConn(resp)
 	if x.eventCount > s.eventsBefore {
--- a/internal/node/pwgateway/watchdog.go
+++ b/internal/node/pwgateway/watchdog.go
@@ -40,8 +40,8 @@
 	// else when the send began.
 	lastActivity time.Time
 	// begun is set when the caller has events of the stream, reported when the silence
-	// was reported as a failure.
-	begun, reported bool
+	// was reported as a failure, and paused while an event is written to the caller.
+	begun, reported, paused bool
 }
 
 // startWatchdog starts the watchdog of a send.
@@ -77,12 +77,21 @@
 	return time.Duration(share * float64(p.abandonTime(x.route)))
 }
 
-// recordActivity records that the server sent an event.
-func (w *watchdog) recordActivity() {
+// pause is called when the server has sent an event, which is then written to the caller.
+// Meanwhile nothing is read from the server, so that its silence shows nothing.
+func (w *watchdog) pause() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begun, w.paused = true, true
+}
+
+// resume is called when the event has been written. The time that the server may be silent
+// begins anew.
+func (w *watchdog) resume() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lastActivity = time.Now()
-	w.begun = true
+	w.paused = false
 }
 
 // stop stops the watchdog. It must be called before the connection carries another
@@ -108,6 +117,10 @@
 	if w.stopped {
 		return
 	}
+	if w.paused {
+		w.timer.Reset(s.inactivityTimeout(false))
+		return
+	}
 	if remaining := s.inactivityTimeout(time.Since(lastServerActivity) < busyWindow) - time.Since(w.lastActivity); remaining > 0 {
 		w.timer.Reset(remaining)
 		return
--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -58,6 +58,9 @@
 	// an unresponsive server while a request runs.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
+	// longBodyBytes is the size from which a server may read a body late or slowly. Shorter
+	// ones fit into the receive buffer of its connection.
+	longBodyBytes = 16 << 10
 	// writeDoneTimeout is how long Release waits for the goroutine that writes the
 	// request to finish.
 	writeDoneTimeout = 5 * time.Millisecond
@@ -151,13 +154,33 @@
 
 // setUserTimeout sets the TCP user timeout of a new socket.
 func (p *Pool) setUserTimeout(_, _ string, c syscall.RawConn) error {
+	return setUserTimeout(c, p.cfg.UserTimeout)
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	return c.Control(func(fd uintptr) {
 		// The error is ignored: without the option, the keep-alive probes still
 		// detect an unresponsive server.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.cfg.UserTimeout.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 }
 
+// allowLateRead raises the TCP user timeout to d for a long body, which the server may leave
+// unread while it works. The kernel takes that for a server that is gone.
+func (c *Conn) allowLateRead(d time.Duration) {
+	c.longUserTimeout = c.changeUserTimeout(max(d, c.pool.cfg.UserTimeout))
+}
+
+// changeUserTimeout changes the TCP user timeout and reports whether it did.
+func (c *Conn) changeUserTimeout(d time.Duration) bool {
+	sysConn, ok := c.netConn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sysConn.SyscallConn()
+	return err == nil && setUserTimeout(raw, d) == nil
+}
+
 // Conn is one connection to a backend server.
 type Conn struct {
 	pool        *Pool
@@ -170,6 +193,8 @@
 	reused      bool
 	// carried holds the hashes of the ids of the requests that the connection has carried.
 	carried []uint64
+	// longUserTimeout is set while the TCP user timeout is longer than that of the pool.
+	longUserTimeout bool
 	// writeDone is closed when the goroutine that writes the request has finished.
 	// writeErr may be read only after that.
 	writeDone chan struct{}
@@ -345,6 +370,9 @@
 		if err := c.netConn.SetWriteDeadline(deadline); err != nil {
 			return nil, pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseUnavailable, "preparing the connection to %s", c.addr)
 		}
+		if len(req.Body) > longBodyBytes {
+			c.allowLateRead(time.Until(deadline))
+		}
 	}
 	// The request is written concurrently, because a server may respond before it
 	// has read a long body.
@@ -427,6 +455,10 @@
 		c.Close()
 		return
 	}
+	if c.longUserTimeout {
+		c.changeUserTimeout(c.pool.cfg.UserTimeout)
+		c.longUserTimeout = false
+	}
 	c.idleSince = time.Now()
 	c.pool.pushIdle(c)
 }
