Bound the request bodies that a server holds for all gateways

Cause: nothing bounded the bytes of bodies in flight to one server; loads between gateways tell only how many requests it has.

Change: each send reserves its body at the server; requests of other gateways count with the mean body of the service. A server without room is tried no more for the request, which goes elsewhere or gets a true 503.

--- a/internal/cli/pwgatewaycommand/tuning.go
+++ b/internal/cli/pwgatewaycommand/tuning.go
@@ -14,6 +14,9 @@
 	"github.com/pomeloweir/pomeloweir/internal/node/pwgateway"
 )
 
+// bytesPerMB is the unit of settings in megabytes.
+const bytesPerMB = 1_000_000
+
 // maxTuningBytes is the largest size of the tuning file.
 const maxTuningBytes = 64 << 10
 
@@ -65,6 +68,9 @@
 	MemoryShare    float64 `json:"memory_share"`
 	CallerShare    float64 `json:"caller_share"`
 	WorkspaceShare float64 `json:"workspace_share"`
+	// ServerBodyMB limits the request bodies that a backend server holds for all gateways,
+	// in megabytes of 1,000,000 bytes.
+	ServerBodyMB float64 `json:"server_body_mb"`
 }
 
 // LoadTuning reads the tuning file at path. An empty path gives the defaults.
@@ -126,6 +132,7 @@
 		{name: "slow_readers.memory_share", value: t.SlowReaders.MemoryShare, max: 1},
 		{name: "slow_readers.caller_share", value: t.SlowReaders.CallerShare, max: 1},
 		{name: "slow_readers.workspace_share", value: t.SlowReaders.WorkspaceShare, max: 1},
+		{name: "slow_readers.server_body_mb", value: t.SlowReaders.ServerBodyMB, max: 1_000_000},
 	} {
 		if f.value < 0 || f.value > f.max {
 			return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
@@ -160,10 +167,11 @@
 		WaitShare:  t.WaitShare,
 		MaxWaiting: t.MaxWaiting,
 		SlowReaders: pwgateway.SlowReaders{
-			UnreadTimeout:  time.Duration(t.SlowReaders.UnreadMS * float64(time.Millisecond)),
-			MemoryShare:    t.SlowReaders.MemoryShare,
-			CallerShare:    t.SlowReaders.CallerShare,
-			WorkspaceShare: t.SlowReaders.WorkspaceShare,
+			UnreadTimeout:   time.Duration(t.SlowReaders.UnreadMS * float64(time.Millisecond)),
+			MemoryShare:     t.SlowReaders.MemoryShare,
+			CallerShare:     t.SlowReaders.CallerShare,
+			WorkspaceShare:  t.SlowReaders.WorkspaceShare,
+			ServerBodyBytes: int64(t.SlowReaders.ServerBodyMB * bytesPerMB),
 		},
 	}
 }
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -542,6 +542,15 @@
 	}
 }
 
+// PeerRequests returns the number of requests that other processes have at a server, as far
+// as they have told.
+func (f *Fleet) PeerRequests(id string) int {
+	if s := f.servers[id]; s != nil {
+		return s.peerLoad.Requests
+	}
+	return 0
+}
+
 // LastActivity returns the time when a server last sent data to this process, or the
 // zero time.
 func (f *Fleet) LastActivity(id string) time.Time {
--- a/internal/core/pwholding/holding_test.go
+++ b/internal/core/pwholding/holding_test.go
@@ -92,3 +92,33 @@
 		t.Errorf("bodies %d, responses %d, refusals %d", l.Held(Bodies), l.Held(Responses), l.Refusals(Workspace))
 	}
 }
+
+// Load pattern: several processes send long bodies to a server that reads slowly. Those of the
+// others are estimated, and a short body still finds room.
+func TestServerIsBoundedOverAllProcesses(t *testing.T) {
+	const kb = 1 << 10
+	s := NewServers(100 * kb)
+	for _, step := range []struct {
+		bytes  int64
+		others int
+		want   bool
+	}{
+		{bytes: 200 * kb, others: 0, want: true}, // larger than the limit, but alone
+		{bytes: 30 * kb, others: 0, want: false},
+		{bytes: kb, others: 0, want: true},
+		{bytes: -201 * kb},
+		{bytes: 30 * kb, others: 0, want: true},
+		{bytes: 30 * kb, others: 1, want: false}, // one of another process, of about 180 KB
+	} {
+		if step.bytes < 0 {
+			s.Release("desk-1", -step.bytes)
+			continue
+		}
+		if got := s.Acquire("desk-1", "desk", step.bytes, step.others); got != step.want {
+			t.Errorf("%d bytes beside %d others: %t, want %t", step.bytes, step.others, got, step.want)
+		}
+	}
+	if n := s.Held("desk-1"); n != 30*kb {
+		t.Errorf("%d bytes are held, want %d", n, 30*kb)
+	}
+}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -426,6 +426,12 @@
 	if err := x.g.crashes.checkQuarantine(x); err != nil {
 		return false, err
 	}
+	if err := x.reserveServerMemory(plan.Server); err != nil {
+		x.rejections++
+		x.triedServers[plan.Server.ID] = true
+		return x.rejections < x.g.cfg.Policy.MaxRejections, err
+	}
+	defer x.g.serverBodies.Release(plan.Server.ID, int64(len(x.body)))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	helpers, release, err := x.reserveEngineMemory(ctx, plan)
@@ -454,6 +460,17 @@
 	return retryable, err
 }
 
+// reserveServerMemory reserves the memory of a server that the body of the request takes.
+func (x *exchange) reserveServerMemory(s pwcatalog.BackendServer) error {
+	others := 0
+	x.g.dispatcher.withFleet(func(_ time.Time, f *pwfleet.Fleet) { others = f.PeerRequests(s.ID) })
+	if x.g.serverBodies.Acquire(s.ID, x.service, int64(len(x.body)), others) {
+		return nil
+	}
+	x.g.obs.Count("server_bodies_refused", 1)
+	return pwverdict.New(pwverdict.NotRun, pwverdict.CauseQueueFull, "%s holds too many bytes of request bodies", s.ID)
+}
+
 // finishWithError ends a request that failed. A caller that has left, or has the head of a
 // streamed response already, gets no response; its connection is aborted.
 func (x *exchange) finishWithError(ctx context.Context, err error) {
--- a/internal/node/pwgateway/gateway.go
+++ b/internal/node/pwgateway/gateway.go
@@ -148,6 +148,8 @@
 	catalog atomic.Pointer[pwcatalog.Catalog]
 	// holdings is the memory that is held for running requests.
 	holdings *pwholding.Ledger
+	// serverBodies is the memory that request bodies take at the backend servers.
+	serverBodies *pwholding.Servers
 	// storeContact returns when the store last responded.
 	storeContact func() time.Time
 }
@@ -168,6 +170,7 @@
 		storeContact: time.Now,
 		shutdown:     newShutdown(),
 		holdings:     pwholding.New(cfg.Policy.holdings()),
+		serverBodies: pwholding.NewServers(cfg.Policy.SlowReaders.ServerBodyBytes),
 	}
 	g.crashes = newCrashTracker(obs)
 	g.dispatcher = newDispatcher(pwfleet.New(cfg.Fleet), cfg.Deployment, cfg.Policy, obs)
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -27,6 +27,9 @@
 	MemoryShare    float64
 	CallerShare    float64
 	WorkspaceShare float64
+	// ServerBodyBytes limits the request bodies that a server holds for all gateways. The
+	// memory of servers is not known; the default assumes machines like this one.
+	ServerBodyBytes int64
 }
 
 // Policy holds the timeouts and limits of requests. Zero fields take their defaults.
@@ -78,6 +81,7 @@
 	pwdefault.SetUnlessPositive(&p.SlowReaders.CallerShare, 1.0/3)
 	pwdefault.SetUnlessPositive(&p.SlowReaders.WorkspaceShare, 0.8)
 	pwdefault.SetUnlessPositive(&p.MaxRequestMemory, 64<<20)
+	pwdefault.SetUnlessPositive(&p.SlowReaders.ServerBodyBytes, p.MaxRequestMemory)
 	pwdefault.SetUnlessPositive(&p.MaxRejections, 12) // while the store is unreachable, each server that is leaving may reject once
 	pwdefault.SetUnlessPositive(&p.MaxWaiting, 2000)
 	return p
--- a/internal/node/pwgateway/slow_readers_test.go
+++ b/internal/node/pwgateway/slow_readers_test.go
@@ -513,3 +513,64 @@
 		})
 	}
 }
+
+// Load pattern: two servers hold long uploads without reading them. What they hold stays
+// bounded; others are refused as not run, and short requests are still served.
+func TestBodiesHeldAtServersAreBounded(t *testing.T) {
+	const uploadBytes = 1 << 20
+	var mu sync.Mutex
+	held := make(map[string]int64)
+	var most int64
+	done := make(chan struct{})
+	hold := func(id string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			held[id] += r.ContentLength
+			most = max(most, held[id])
+			mu.Unlock()
+			if r.ContentLength > 0 {
+				<-done
+			}
+			viewServer(w, r)
+		}
+	}
+	l := newLoopback(t, pwgateway.Policy{
+		SlowReaders: pwgateway.SlowReaders{
+			ServerBodyBytes: 2 * uploadBytes,
+		},
+	}, map[string]http.HandlerFunc{
+		"desk-1": hold("desk-1"),
+		"desk-2": hold("desk-2"),
+	})
+	statuses := make(chan int)
+	for i := range 8 {
+		c := l.mustOpen(t, fmt.Sprintf("a%d", i), "k1", "/book/1", "HTTP/1.1", uploadBytes)
+		go func() {
+			_, _ = c.Write(make([]byte, uploadBytes))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				statuses <- 0
+				return
+			}
+			closeBody(resp)
+			statuses <- resp.StatusCode
+		}()
+	}
+	for range 4 {
+		if status := <-statuses; status != http.StatusServiceUnavailable {
+			t.Errorf("status %d, want 503", status)
+		}
+	}
+	if status, _ := l.view(t, "v1", "k2"); status != http.StatusOK {
+		t.Errorf("a short request got status %d", status)
+	}
+	close(done)
+	for range 4 {
+		if status := <-statuses; status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+	}
+	if most > 2*uploadBytes {
+		t.Errorf("a server held %d bytes, allowed are %d", most, 2*uploadBytes)
+	}
+}
