Raise the user timeout only while a server leaves a body unread

Cause: with a raised TCP user timeout for each long body, a server that is lost while it works on a long prompt is noticed late, because the user timeout replaces the keep-alive probes.

Only while the receive window of the server is full and it answers window probes, the timeout is that of the request.

--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -58,9 +58,6 @@
 	// an unresponsive server while a request runs.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
-	// longBodyBytes is the size from which a server may read a body late or slowly. Shorter
-	// ones fit into the receive buffer of its connection.
-	longBodyBytes = 16 << 10
 	// writeDoneTimeout is how long Release waits for the goroutine that writes the
 	// request to finish.
 	writeDoneTimeout = 5 * time.Millisecond
@@ -165,22 +162,6 @@
 	})
 }
 
-// allowLateRead raises the TCP user timeout to d for a long body, which the server may leave
-// unread while it works. The kernel takes that for a server that is gone.
-func (c *Conn) allowLateRead(d time.Duration) {
-	c.longUserTimeout = c.changeUserTimeout(max(d, c.pool.cfg.UserTimeout))
-}
-
-// changeUserTimeout changes the TCP user timeout and reports whether it did.
-func (c *Conn) changeUserTimeout(d time.Duration) bool {
-	sysConn, ok := c.netConn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sysConn.SyscallConn()
-	return err == nil && setUserTimeout(raw, d) == nil
-}
-
 // Conn is one connection to a backend server.
 type Conn struct {
 	pool        *Pool
@@ -193,8 +174,8 @@
 	reused      bool
 	// carried holds the hashes of the ids of the requests that the connection has carried.
 	carried []uint64
-	// longUserTimeout is set while the TCP user timeout is longer than that of the pool.
-	longUserTimeout bool
+	// lateRead is set while a long body may be unread.
+	lateRead *lateRead
 	// writeDone is closed when the goroutine that writes the request has finished.
 	// writeErr may be read only after that.
 	writeDone chan struct{}
@@ -370,13 +351,13 @@
 		if err := c.netConn.SetWriteDeadline(deadline); err != nil {
 			return nil, pwverdict.Wrap(err, pwverdict.NotRun, pwverdict.CauseUnavailable, "preparing the connection to %s", c.addr)
 		}
-		if len(req.Body) > longBodyBytes {
-			c.allowLateRead(time.Until(deadline))
-		}
 	}
 	// The request is written concurrently, because a server may respond before it
 	// has read a long body.
 	go c.writeRequest(req)
+	if deadline, ok := ctx.Deadline(); ok && len(req.Body) > longBodyBytes {
+		c.lateRead = c.startLateRead(time.Until(deadline))
+	}
 	return c.ReadResponse(req.Method)
 }
 
@@ -455,10 +436,8 @@
 		c.Close()
 		return
 	}
-	if c.longUserTimeout {
-		c.changeUserTimeout(c.pool.cfg.UserTimeout)
-		c.longUserTimeout = false
-	}
+	c.lateRead.stop()
+	c.lateRead = nil
 	c.idleSince = time.Now()
 	c.pool.pushIdle(c)
 }
@@ -510,6 +489,7 @@
 	if c.stopAbort != nil {
 		c.stopAbort()
 	}
+	c.lateRead.stop()
 	// A failed close needs no handling: the connection is not used any more.
 	_ = c.netConn.Close()
 }
