--- a/internal/node/pwupstream/upstream.go
+++ b/internal/node/pwupstream/upstream.go
@@ -155,10 +155,14 @@
 
 // setUserTimeout sets the TCP user timeout of a new socket.
 func (p *Pool) setUserTimeout(_, _ string, c syscall.RawConn) error {
+	return setUserTimeout(c, p.cfg.UserTimeout)
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	return c.Control(func(fd uintptr) {
 		// The error is ignored: without the option, the keep-alive probes still
 		// detect an unresponsive server.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.cfg.UserTimeout.Milliseconds()))
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 }
 
@@ -174,6 +178,8 @@
 	reused      bool
 	// carried holds the hashes of the ids of the requests that the connection has carried.
 	carried []uint64
+	// lateRead is set while a long body may be unread.
+	lateRead *lateRead
 	// writeDone is closed when the goroutine that writes the request has finished.
 	// writeErr may be read only after that.
 	writeDone chan struct{}
@@ -353,6 +359,9 @@
 	// The request is written concurrently, because a server may respond before it
 	// has read a long body.
 	go c.writeRequest(req)
+	if deadline, ok := ctx.Deadline(); ok && len(req.Body) > longBodyBytes {
+		c.lateRead = c.startLateRead(time.Until(deadline))
+	}
 	return c.ReadResponse(req.Method)
 }
 
@@ -470,6 +479,8 @@
 		c.Close()
 		return
 	}
+	c.lateRead.stop()
+	c.lateRead = nil
 	c.idleSince = time.Now()
 	c.pool.pushIdle(c)
 }
@@ -521,6 +532,7 @@
 	if c.stopAbort != nil {
 		c.stopAbort()
 	}
+	c.lateRead.stop()
 	// A failed close needs no handling: the connection is not used any more.
 	_ = c.netConn.Close()
 }
