--- a/internal/cli/pwgatewaycommand/gateway.go
+++ b/internal/cli/pwgatewaycommand/gateway.go
@@ -192,9 +192,14 @@
 		BatchDelay: d.Bounds.DrainTimeout / serverBatchDivisor,
 	}, p.obs, p.gateway.ApplyServers)
 	p.gateway.SetStoreContact(p.operatorFollower.LastContact)
+	var usage pwpeering.UsageView
+	if p.tuning.Overload != nil {
+		usage = p.gateway
+	}
 	var err error
 	p.exchange, err = pwpeering.New(pwpeering.Config{
 		Address:         p.peerAddress(),
+		Usage:           usage,
 		OnUnknownSender: func() { p.directory.Refresh() },
 	}, p.gateway, p.obs)
 	if err != nil {
--- a/internal/cli/pwgatewaycommand/tuning.go
+++ b/internal/cli/pwgatewaycommand/tuning.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwgateway"
 )
@@ -51,6 +52,24 @@
 	CellProcesses int     `json:"cell_processes"`
 	CellServers   int     `json:"cell_servers"`
 	LoadAgeMS     float64 `json:"load_age_ms"`
+	// Overload enables admission under overload; without it, nothing is refused for that.
+	Overload *OverloadTuning `json:"overload"`
+}
+
+// OverloadTuning holds the settings of admission under overload.
+type OverloadTuning struct {
+	// EnterPressure and ExitPressure are the shares of the slots, or of the prefill room, at
+	// which overload begins and ends. ExitDelayMS is how long it must have been below the
+	// latter, in milliseconds.
+	EnterPressure float64 `json:"enter_share"`
+	ExitPressure  float64 `json:"exit_share"`
+	ExitDelayMS   float64 `json:"exit_delay_ms"`
+	// SlotShare and PrefillShare are the shares of the engines' slots and of their time for
+	// prefill that are divided among the workspaces.
+	SlotShare    float64 `json:"slot_share"`
+	PrefillShare float64 `json:"prefill_share"`
+	// MaxRetryAfterMS bounds the Retry-After of refused requests, in milliseconds.
+	MaxRetryAfterMS float64 `json:"max_retry_after_ms"`
 }
 
 // LoadTuning reads the tuning file at path. An empty path gives the defaults.
@@ -88,11 +107,21 @@
 // check returns an error for the first field that is out of range.
 func (t Tuning) check() error {
 	const maxMS = 60_000
+	var o OverloadTuning
+	if t.Overload != nil {
+		o = *t.Overload
+	}
 	for _, f := range []struct {
 		name  string
 		value float64
 		max   float64
 	}{
+		{name: "overload.enter_share", value: o.EnterPressure, max: 1},
+		{name: "overload.exit_share", value: o.ExitPressure, max: 1},
+		{name: "overload.exit_delay_ms", value: o.ExitDelayMS, max: maxMS},
+		{name: "overload.slot_share", value: o.SlotShare, max: 1},
+		{name: "overload.prefill_share", value: o.PrefillShare, max: 1},
+		{name: "overload.max_retry_after_ms", value: o.MaxRetryAfterMS, max: maxMS},
 		{name: "short_read_ms", value: t.ShortPrefillMS, max: maxMS},
 		{name: "short_pass_ms", value: t.ShortIterationMS, max: maxMS},
 		{name: "busy_short_pass_ms", value: t.BusyShortIterationMS, max: maxMS},
@@ -114,9 +143,26 @@
 				"%s is %g; it must be from 0 to %g, where 0 is the default", f.name, f.value, f.max)
 		}
 	}
+	c := o.config()
+	if c.ExitPressure >= c.EnterPressure {
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
+			"overload.exit_share is %g; it must be less than overload.enter_share, which is %g", c.ExitPressure, c.EnterPressure)
+	}
 	return nil
 }
 
+// config returns the settings with their defaults.
+func (o OverloadTuning) config() pwoverload.Config {
+	return pwoverload.Config{
+		EnterPressure: o.EnterPressure,
+		ExitPressure:  o.ExitPressure,
+		ExitDelay:     time.Duration(o.ExitDelayMS * float64(time.Millisecond)),
+		SlotShare:     o.SlotShare,
+		PrefillShare:  o.PrefillShare,
+		MaxRetryAfter: time.Duration(o.MaxRetryAfterMS * float64(time.Millisecond)),
+	}.WithDefaults()
+}
+
 func (t Tuning) fleet() pwfleet.Config {
 	return pwfleet.Config{
 		ShortPrefillMS:       t.ShortPrefillMS,
@@ -137,9 +183,14 @@
 }
 
 func (t Tuning) policy() pwgateway.Policy {
-	return pwgateway.Policy{
+	p := pwgateway.Policy{
 		StallShare: t.StallShare,
 		WaitShare:  t.WaitShare,
 		MaxWaiting: t.MaxWaiting,
 	}
+	if t.Overload != nil {
+		c := t.Overload.config()
+		p.Overload = &c
+	}
+	return p
 }
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
@@ -63,6 +64,10 @@
 	// noServerWaitUntil is when the request stops waiting while no server is eligible.
 	noServerWaitUntil time.Time
 	result            chan placement
+	// mayShed is set if the request may be refused in overload.
+	mayShed bool
+	// urgent is set for a request that exceeds the slots of the engines even in overload.
+	urgent bool
 	// blockedBy is why the request could not be placed when that was last tried.
 	blockedBy error
 }
@@ -91,13 +96,22 @@
 	// freedMS is the fleet's FreedPrefillMS when turns last recorded that engines became
 	// free.
 	freedMS float64
+	// overload is nil unless the settings hold it. sheds is set while the configuration
+	// divides its callers into workspaces.
+	overload *pwoverload.Controller
+	sheds    bool
 	// loggedCell is the cell that was last logged.
 	loggedCell pwcell.Cell
 }
 
 func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
 	f.SetColdBounds(d.Bounds.ColdRateFactor, d.Bounds.ColdRateSlack)
+	var overload *pwoverload.Controller
+	if p.Overload != nil {
+		overload = pwoverload.New(*p.Overload)
+	}
 	return &dispatcher{
+		overload:     overload,
 		deployment:   d,
 		policy:       p,
 		obs:          obs,
@@ -116,6 +130,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.Configure(c.Services())
+	d.sheds = c.RequiresKey()
 }
 
 func (d *dispatcher) setBounds(b pwdeployment.Bounds) {
@@ -203,6 +218,10 @@
 	p.short = d.fleet.IsShort(p.req)
 	p.prefillMS = d.fleet.PrefillMS(p.req)
 	p.latestPrefillStart = p.firstTokenDeadline.Add(-time.Duration(p.prefillMS / assumedPrefillEngines * float64(time.Millisecond)))
+	if err := d.admit(now, p); err != nil {
+		d.mu.Unlock()
+		return pwfleet.Plan{}, nil, err
+	}
 	if p.short || d.isFirst(now, p) {
 		if placed := d.tryPlace(now, p); placed.err == nil || !d.mayWait(now, p, placed.err) {
 			placed.err = d.describeRefusal(now, p, placed.err)
@@ -295,7 +314,7 @@
 // tryPlace plans a request and assigns its load to the planned servers.
 func (d *dispatcher) tryPlace(now time.Time, p *pendingRequest) placement {
 	req := p.req
-	req.Urgent = now.After(p.capacityWaitUntil)
+	req.Urgent = p.urgent || now.After(p.capacityWaitUntil) && !d.shedsNow(p)
 	req.Late = p.lateRank(now) == 1
 	plan, err := d.fleet.Plan(now, req)
 	if err != nil {
@@ -376,12 +395,19 @@
 	}
 	slices.SortStableFunc(d.waiting, func(a, b *pendingRequest) int { return compareQueueOrder(a, b, now) })
 	stillWaiting := d.waiting[:0]
+	var ahead queueAhead
 	ownTurn, decided := false, false
 	for _, p := range d.waiting {
 		if !p.short && !decided {
 			ownTurn, decided = d.turns.Take(now, p.rank(now)), true
 		}
 		if !p.short && !ownTurn && now.Before(p.capacityWaitUntil) {
+			if err := d.recheck(now, p, &ahead); err != nil {
+				p.deliver(placement{
+					err: err,
+				})
+				continue
+			}
 			stillWaiting = append(stillWaiting, p)
 			continue
 		}
@@ -391,6 +417,12 @@
 		}
 		if placed.err != nil && d.mayWait(now, p, placed.err) {
 			p.blockedBy = placed.err
+			if err := d.recheck(now, p, &ahead); err != nil {
+				p.deliver(placement{
+					err: err,
+				})
+				continue
+			}
 			stillWaiting = append(stillWaiting, p)
 			continue
 		}
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -352,6 +352,8 @@
 		abandonAt:          x.deadline,
 		noServerWaitUntil:  x.arrivedAt.Add(time.Duration(x.g.cfg.Policy.NoServerWaitShare * float64(x.target()))),
 		capacityWaitUntil:  x.deadline,
+		// An attempt that is repeated has had its turn already.
+		mayShed: x.route.Target > 0 && x.sends == 0 && !x.headWritten,
 	}
 	if x.route.Kind == pwcatalog.Streaming {
 		abandonTime := x.g.cfg.Policy.abandonTime(x.route)
@@ -386,8 +388,8 @@
 // trySend sends the request to the planned server and relays the response. With an
 // error it returns whether the request may be retried on another server.
 func (x *exchange) trySend(ctx context.Context, plan pwfleet.Plan, assignment *pwfleet.Assignment) (retryable bool, err error) {
-	defer x.g.dispatcher.withFleet(func(time.Time, *pwfleet.Fleet) { assignment.End() })
 	placedAt := time.Now()
+	defer x.g.dispatcher.end(plan, assignment, placedAt)
 	remaining := time.Until(x.deadline)
 	if remaining < minSendTime {
 		return false, pwverdict.New(pwverdict.NotRun, pwverdict.CauseDeadlineExceeded,
--- /dev/null
+++ b/internal/node/pwgateway/overload.go
@@ -0,0 +1,200 @@
+package pwgateway
+
+import (
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
+)
+
+// queueAhead adds up what waits before a request of the same service and class.
+type queueAhead struct {
+	requests  map[queueKey]int
+	prefillMS map[queueKey]float64
+	// rooms holds the room of each service, which is the same for the whole pass.
+	rooms map[string]pwoverload.Room
+}
+
+type queueKey struct {
+	service string
+	short   bool
+}
+
+// shedsNow reports whether the request may be refused because of an overload.
+func (d *dispatcher) shedsNow(p *pendingRequest) bool {
+	return d.overload != nil && d.sheds && p.mayShed && d.overload.Overloaded()
+}
+
+// admit decides about a request that has just arrived. It returns an error for one that is
+// refused.
+func (d *dispatcher) admit(now time.Time, p *pendingRequest) error {
+	if d.overload == nil || !d.sheds || !p.mayShed {
+		return nil
+	}
+	room, ok := d.room(now, p.req.Service)
+	if !ok {
+		return nil
+	}
+	for _, other := range d.waiting {
+		if other.req.Service == p.req.Service && other.short == p.short && compareQueueOrder(other, p, now) < 0 {
+			room.Ahead++
+			room.AheadPrefillMS += other.prefillMS
+		}
+	}
+	if !p.short {
+		_, queued := d.turns.Ahead(now, p.rank(now))
+		room.AheadPrefillMS += queued
+	}
+	before := d.overload.Overloaded()
+	decision := d.overload.Offer(now, p.offer(now), room)
+	d.logRegime(before, room)
+	d.countDecision(p, decision)
+	if !decision.Admitted {
+		return newOverloadRefusal(decision)
+	}
+	p.urgent = decision.Reason == pwoverload.ReasonFloor
+	return nil
+}
+
+// recheck decides about a request that waits. It returns an error for one that is refused.
+// The requests of a pass are rechecked in the order of the queue.
+func (d *dispatcher) recheck(now time.Time, p *pendingRequest, ahead *queueAhead) error {
+	if !d.shedsNow(p) {
+		return nil
+	}
+	if ahead.rooms == nil {
+		*ahead = queueAhead{
+			requests:  make(map[queueKey]int),
+			prefillMS: make(map[queueKey]float64),
+			rooms:     make(map[string]pwoverload.Room),
+		}
+	}
+	room, ok := ahead.rooms[p.req.Service]
+	if !ok {
+		if room, ok = d.room(now, p.req.Service); !ok {
+			return nil
+		}
+		ahead.rooms[p.req.Service] = room
+	}
+	key := queueKey{
+		service: p.req.Service,
+		short:   p.short,
+	}
+	room.Ahead, room.AheadPrefillMS = ahead.requests[key], ahead.prefillMS[key]
+	decision := d.overload.Recheck(now, p.offer(now), room)
+	if !decision.Admitted {
+		d.countDecision(p, decision)
+		return newOverloadRefusal(decision)
+	}
+	ahead.requests[key]++
+	ahead.prefillMS[key] += p.prefillMS
+	return nil
+}
+
+// offer describes the request to pwoverload.
+func (p *pendingRequest) offer(now time.Time) pwoverload.Offer {
+	return pwoverload.Offer{
+		Workspace:    xxhash.Sum64String(p.workspace),
+		Class:        p.class(),
+		PrefillMS:    p.prefillMS,
+		UntilTarget:  p.firstTokenDeadline.Sub(now),
+		UntilAbandon: p.abandonAt.Sub(now),
+	}
+}
+
+func (p *pendingRequest) class() pwoverload.Class {
+	if p.short {
+		return pwoverload.Short
+	}
+	return pwoverload.Long
+}
+
+// room returns what the engines of a service have left.
+func (d *dispatcher) room(now time.Time, service string) (pwoverload.Room, bool) {
+	r, ok := d.fleet.Room(now, service)
+	return pwoverload.Room{
+		Engines:      r.Engines,
+		Slots:        r.Slots,
+		Taken:        r.Taken,
+		Own:          r.Own,
+		PrefillMS:    r.PrefillMS,
+		MaxPrefillMS: r.MaxPrefillMS,
+		IterationMS:  r.IterationMS,
+		Processes:    r.Processes,
+	}, ok
+}
+
+// ownUsage returns the demand of this process's workspaces. It returns false while the peers
+// need not hear of it at once.
+func (d *dispatcher) ownUsage() (list []pwoverload.Usage, urgent bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.overload.Usage(time.Now()), d.overload.Busy()
+}
+
+func (d *dispatcher) mergeUsage(peer string, list []pwoverload.Usage) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.overload.MergeUsage(time.Now(), peer, list)
+}
+
+// end ends the assignment of a request, and records how long it held its slot.
+func (d *dispatcher) end(plan pwfleet.Plan, assignment *pwfleet.Assignment, placedAt time.Time) {
+	d.withFleet(func(time.Time, *pwfleet.Fleet) {
+		if d.overload != nil && assignment.PrefillEnded() && plan.PartPrefillMS > 0 {
+			class := pwoverload.Long
+			if plan.Short {
+				class = pwoverload.Short
+			}
+			d.overload.RecordEnd(class, time.Since(placedAt))
+		}
+		assignment.End()
+	})
+}
+
+// newOverloadRefusal returns the error of a request that is refused. It states the decision
+// for the log line of the refusal.
+func newOverloadRefusal(d pwoverload.Decision) error {
+	cause := pwverdict.CauseDeadlineUnreachable
+	if d.Reason == pwoverload.ReasonShare {
+		cause = pwverdict.CauseClassFull
+	}
+	return pwverdict.New(pwverdict.NotRun, cause,
+		"the engines are overloaded: %s, the first token is predicted in %s, %.0f%% of the workspace's requests are admitted",
+		d.Reason, d.Predicted.Round(time.Millisecond), 100*d.Share).
+		WithRetryAfter(d.RetryAfter)
+}
+
+// countDecision counts a decision in the metrics, by class and reason.
+func (d *dispatcher) countDecision(p *pendingRequest, decision pwoverload.Decision) {
+	result := "rejected_"
+	if decision.Admitted {
+		result = "admitted_"
+	}
+	d.obs.Count("overload_"+result+p.class().String()+"_"+string(decision.Reason), 1)
+}
+
+// logRegime logs a change of the regime.
+func (d *dispatcher) logRegime(before bool, r pwoverload.Room) {
+	after := d.overload.Overloaded()
+	if before == after {
+		return
+	}
+	overloaded := int64(0)
+	if after {
+		overloaded = 1
+	}
+	d.obs.SetGauge("overloaded", overloaded)
+	d.obs.LogEvent("overload", log.Fields{
+		"overloaded":  after,
+		"engines":     r.Engines,
+		"slots":       r.Slots,
+		"slots_taken": r.Taken,
+		"prefill_ms":  int64(r.PrefillMS),
+		"processes":   r.Processes,
+	})
+}
--- a/internal/node/pwgateway/peers.go
+++ b/internal/node/pwgateway/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwpeering"
 )
@@ -38,6 +39,14 @@
 // OwnLimits implements pwpeering.View.
 func (g *Gateway) OwnLimits() []pwfleet.LimitReport { return g.dispatcher.ownLimits() }
 
+// OwnUsage implements pwpeering.UsageView.
+func (g *Gateway) OwnUsage() (list []pwoverload.Usage, urgent bool) { return g.dispatcher.ownUsage() }
+
+// MergeUsage implements pwpeering.UsageView.
+func (g *Gateway) MergeUsage(peer string, list []pwoverload.Usage) {
+	g.dispatcher.mergeUsage(peer, list)
+}
+
 // MergePeer implements pwpeering.View.
 func (g *Gateway) MergePeer(peer string, m pwpeering.Message) {
 	g.crashes.mergeReport(m.Crashes)
--- a/internal/node/pwgateway/policy.go
+++ b/internal/node/pwgateway/policy.go
@@ -5,6 +5,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwdefault"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
 )
 
 // maintenanceInterval is how often old connections and inactive peers are removed.
@@ -48,6 +49,8 @@
 	// servers. Afterwards a short prompt goes to the least busy engine, and a long
 	// one is refused while its caller still has time to retry.
 	WaitShare float64
+	// Overload configures the decisions of pwoverload; nil means that none are made.
+	Overload *pwoverload.Config
 }
 
 func (p Policy) withDefaults() Policy {
--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -79,6 +79,8 @@
 	Address     string
 	Heartbeat   time.Duration
 	PacePerPeer time.Duration
+	// Usage provides the demand of the workspaces; nil means that none is exchanged.
+	Usage UsageView
 	// OnUnknownSender is called for a message of a process that isn't listed; it may be
 	// nil.
 	OnUnknownSender func()
@@ -122,6 +124,8 @@
 	sentLoads   map[uint64]pwfleet.Load
 	fullSentAt  time.Time
 	sentWaiting bool
+	// usageSentAt is when the last usage message was sent. It belongs to loopSend too.
+	usageSentAt time.Time
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
@@ -299,6 +303,9 @@
 			Queue: queue,
 		}
 	}
+	if heartbeat {
+		out = append(out, x.usageDatagrams(cell, inCell)...)
+	}
 	if len(crashes)+len(limits) > 0 && len(others) > 0 {
 		out = append(out, x.newDatagram(cell, Message{
 			Crashes: crashes,
@@ -397,11 +404,15 @@
 // handleMessage decodes a message and merges it, unless it is out of date or its sender
 // isn't listed. Of a process in another cell only the crashes and limits are merged.
 func (x *Exchange) handleMessage(raw []byte, from netip.AddrPort) error {
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	if isUsage(raw) {
+		return x.handleUsage(raw, from)
+	}
 	e, m, err := parseMessage(raw)
 	if err != nil {
 		return err
 	}
-	name, ok := x.acceptNewer(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), e)
+	name, ok := x.acceptNewer(from, e)
 	if !ok {
 		return nil
 	}
