--- a/internal/core/pwoverload/usage.go
+++ b/internal/core/pwoverload/usage.go
@@ -64,8 +64,7 @@
 // take admits a request if the shares of its workspace's requests add up to one.
 func (w *workspace) take(class Class, share float64) bool {
 	credit := &w.credit[min(class, Long)]
-	*credit = min(1, *credit+share)
-	if *credit < 1 {
+	if *credit += share; *credit < 1 {
 		return false
 	}
 	*credit--
