--- a/internal/core/pwoverload/controller.go
+++ b/internal/core/pwoverload/controller.go
@@ -32,12 +32,12 @@
 	// DefaultEnterPressure and DefaultExitPressure are the pressures at which overload
 	// begins and ends, and DefaultExitDelay is how long the pressure must have been below
 	// the latter.
-	DefaultEnterPressure = 0.85
-	DefaultExitPressure  = 0.7
+	DefaultEnterPressure = 0.8
+	DefaultExitPressure  = 0.65
 	DefaultExitDelay     = time.Second
 	// DefaultSlotShare is the share of all slots that is divided among the workspaces. The
 	// rest absorbs requests that several processes send to the same engine at once.
-	DefaultSlotShare = 0.95
+	DefaultSlotShare = 0.85
 	// DefaultPrefillShare is the share of the engines' time that is divided for prefill.
 	// Decoding needs the rest.
 	DefaultPrefillShare = 0.75
@@ -207,15 +207,15 @@
 
 // Observe updates the regime, and reports whether it has changed.
 func (c *Controller) Observe(now time.Time, r Room) (changed bool) {
-	p := r.pressure()
-	c.pressure = p
+	p := r.slotPressure()
+	c.pressure = max(p, r.prefillPressure())
 	switch {
-	case !c.overloaded && (p >= c.cfg.EnterPressure || p >= growingPressure && c.usage.exceeds(now, c.capacity(r), c.cfg.ReportExpiry)):
+	case !c.overloaded && (p >= c.cfg.EnterPressure || c.pressure >= growingPressure && c.usage.exceeds(now, c.capacity(r), c.cfg.ReportExpiry)):
 		c.overloaded, c.relaxedSince = true, time.Time{}
 		return true
 	case !c.overloaded:
 		return false
-	case p >= c.cfg.ExitPressure:
+	case p >= c.cfg.ExitPressure || c.pressure >= growingPressure && c.usage.exceeds(now, c.capacity(r), c.cfg.ReportExpiry):
 		c.relaxedSince = time.Time{}
 	case c.relaxedSince.IsZero():
 		c.relaxedSince = now
@@ -273,7 +273,7 @@
 
 // hasSpare reports whether there are slots that the shares leave unused.
 func (c *Controller) hasSpare(r Room) bool {
-	return float64(r.Taken) < c.cfg.EnterPressure*float64(r.Slots)
+	return float64(r.Taken) < c.cfg.SlotShare*float64(r.Slots)
 }
 
 func (d Decision) admit(reason Reason) Decision {
@@ -287,16 +287,21 @@
 	return d
 }
 
-// pressure returns how much of the scarcer of slots and prefill room is taken.
-func (r Room) pressure() float64 {
-	if r.Slots <= 0 || r.Engines <= 0 {
+// slotPressure returns how much of the slots is taken.
+func (r Room) slotPressure() float64 {
+	if r.Slots <= 0 {
 		return 0
 	}
-	p := float64(r.Taken) / float64(r.Slots)
-	if r.MaxPrefillMS > 0 {
-		p = max(p, r.PrefillMS/(float64(r.Engines)*r.MaxPrefillMS))
+	return float64(r.Taken) / float64(r.Slots)
+}
+
+// prefillPressure returns how much of the prefill room is taken. It is near 1 also while long
+// prompts use all of it without being too many.
+func (r Room) prefillPressure() float64 {
+	if r.Engines <= 0 || r.MaxPrefillMS <= 0 || math.IsNaN(r.PrefillMS) {
+		return 0
 	}
-	return p
+	return r.PrefillMS / (float64(r.Engines) * r.MaxPrefillMS)
 }
 
 // firstTokenIterations is how many iterations a request waits for its first token: the rest
@@ -339,7 +344,7 @@
 // two times that keep the refused from coming back together.
 func (c *Controller) retryAfter(d Decision, r Room) time.Duration {
 	excess := 1/max(0.05, d.Share) - 1
-	room := milliseconds(c.holds[Short].ms() * max(excess, max(0, r.pressure()-c.cfg.ExitPressure)))
+	room := milliseconds(c.holds[Short].ms() * max(excess, max(0, r.slotPressure()-c.cfg.ExitPressure)))
 	base := max(minRetryAfter, min(room, c.cfg.MaxRetryAfter/2))
 	return base + time.Duration(c.cfg.Float64()*float64(base))
 }
