--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -100,6 +100,9 @@
 	// divides its callers into workspaces.
 	overload *pwoverload.Controller
 	sheds    bool
+	// decisionLines counts the log lines about decisions in decisionsSecond.
+	decisionsSecond time.Time
+	decisionLines   int
 	// loggedCell is the cell that was last logged.
 	loggedCell pwcell.Cell
 }
--- a/internal/node/pwgateway/overload.go
+++ b/internal/node/pwgateway/overload.go
@@ -52,7 +52,7 @@
 	before := d.overload.Overloaded()
 	decision := d.overload.Offer(now, p.offer(now), room)
 	d.logRegime(before, room)
-	d.countDecision(p, decision)
+	d.countDecision(now, p, decision)
 	if !decision.Admitted {
 		return false, newOverloadRefusal(decision)
 	}
@@ -88,7 +88,7 @@
 	room.Ahead, room.AheadPrefillMS = ahead.requests[key], ahead.prefillMS[key]
 	decision := d.overload.Recheck(now, p.offer(now), room)
 	if !decision.Admitted {
-		d.countDecision(p, decision)
+		d.countDecision(now, p, decision)
 		return false, newOverloadRefusal(decision)
 	}
 	p.urgent = decision.Reason == pwoverload.ReasonFloor
@@ -171,13 +171,54 @@
 		WithRetryAfter(d.RetryAfter)
 }
 
-// countDecision counts a decision in the metrics, by class and reason.
-func (d *dispatcher) countDecision(p *pendingRequest, decision pwoverload.Decision) {
-	result := "rejected_"
+// maxDecisionLines bounds the log lines about decisions, in lines a second.
+const maxDecisionLines = 10
+
+// countDecision counts a decision in the metrics, by result, size class, workspace class and
+// reason, and logs it unless there were too many in this second.
+func (d *dispatcher) countDecision(now time.Time, p *pendingRequest, decision pwoverload.Decision) {
+	result, workspaceClass := "rejected", "light"
 	if decision.Admitted {
-		result = "admitted_"
+		result = "admitted"
+	}
+	if decision.Share < 1 {
+		workspaceClass = "heavy"
+	}
+	d.obs.Count("overload_offered_"+p.class().String()+"_"+workspaceClass, 1)
+	d.obs.Count("overload_"+result+"_"+p.class().String()+"_"+workspaceClass+"_"+string(decision.Reason), 1)
+	if !decision.Overloaded {
+		return
+	}
+	if second := now.Truncate(time.Second); second != d.decisionsSecond {
+		d.decisionsSecond, d.decisionLines = second, 0
+	}
+	if d.decisionLines++; d.decisionLines > maxDecisionLines {
+		d.obs.Count("overload_lines_left_out", 1)
+		return
+	}
+	d.obs.LogRoutineEvent("overload_decision", log.Fields{
+		"request":        p.id,
+		"workspace":      p.workspace,
+		"class":          p.class().String(),
+		"result":         result,
+		"reason":         string(decision.Reason),
+		"wait":           decision.Wait,
+		"predicted_ms":   decision.Predicted.Milliseconds(),
+		"share":          decision.Share,
+		"retry_after_ms": decision.RetryAfter.Milliseconds(),
+	})
+}
+
+// countFirstEvent counts the first tokens that are sent within the target of their route.
+func (x *exchange) countFirstEvent(p pwfleet.Plan) {
+	if x.g.cfg.Policy.Overload == nil || x.route.Target <= 0 {
+		return
+	}
+	result := "late_"
+	if x.firstEventAt.Sub(x.arrivedAt) <= x.route.Target {
+		result = "in_aim_"
 	}
-	d.obs.Count("overload_"+result+p.class().String()+"_"+string(decision.Reason), 1)
+	x.g.obs.Count("overload_"+result+sizeClass(p), 1)
 }
 
 // logRegime logs a change of the regime.
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -233,6 +233,7 @@
 	if x.firstEventAt.IsZero() {
 		x.firstEventAt = time.Now()
 		x.g.obs.ObserveDuration("first_event_"+sizeClass(s.plan), x.firstEventAt.Sub(x.arrivedAt))
+		x.countFirstEvent(s.plan)
 	}
 	x.g.dispatcher.withFleet(func(_ time.Time, f *pwfleet.Fleet) {
 		s.assignment.EndPrefill()
--- a/internal/node/pwpeering/peering_test.go
+++ b/internal/node/pwpeering/peering_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwobserve"
 )
@@ -508,6 +509,11 @@
 	f.Add(raw[:20])
 	f.Add(append(raw, 0))
 	f.Add([]byte{})
+	f.Add(encodeUsage(envelope{
+		incarnation: 1,
+		sequence:    1,
+		cell:        pwcell.Whole(),
+	}, make([]pwoverload.Usage, 2)))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		nodes := newNodes(2)
 		err := nodes[1].handleMessage(raw, nodes[0].addr)
@@ -517,6 +523,16 @@
 		if err != nil {
 			return
 		}
+		if isUsage(raw) {
+			e, list, err := parseUsage(raw)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if again := encodeUsage(e, list); len(again) != len(raw) {
+				t.Errorf("a usage message of %d bytes has %d when it is encoded again", len(raw), len(again))
+			}
+			return
+		}
 		e, m, err := parseMessage(raw)
 		if err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/internal/node/pwpeering/usage_test.go
@@ -0,0 +1,68 @@
+package pwpeering
+
+import (
+	"errors"
+	"math"
+	"slices"
+	"testing"
+
+	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
+)
+
+// fakeUsage records the demand that was merged.
+type fakeUsage struct {
+	own    []pwoverload.Usage
+	merged map[string][]pwoverload.Usage
+}
+
+func (u *fakeUsage) OwnUsage() ([]pwoverload.Usage, bool) { return u.own, true }
+func (u *fakeUsage) MergeUsage(peer string, list []pwoverload.Usage) {
+	u.merged[peer] = list
+}
+
+// The demand of the workspaces must reach the peers, bounded in number and size, and a peer
+// that does not know the message must drop it and still merge the loads.
+func TestUsageReachesPeersThatKnowIt(t *testing.T) {
+	nodes := newNodes(3)
+	sender := &fakeUsage{
+		own: make([]pwoverload.Usage, pwoverload.MaxReported+5),
+	}
+	for i := range sender.own {
+		sender.own[i].Workspace = uint64(i + 1)
+		sender.own[i].Requests[pwoverload.Short] = float64(i)
+	}
+	sender.own[0].PrefillMS = math.Inf(1)
+	receiver := &fakeUsage{
+		merged: make(map[string][]pwoverload.Usage),
+	}
+	nodes[0].cfg.Usage, nodes[1].cfg.Usage = sender, receiver
+	nodes[0].view.loads = []pwfleet.ServerLoad{load("e-1", 3)}
+	for _, d := range nodes[0].nextDatagrams(true) {
+		if isUsage(d.raw) && len(d.raw) > 1400 {
+			t.Errorf("a message of %d bytes", len(d.raw))
+		}
+		for _, to := range nodes[1:] {
+			if err := to.handleMessage(d.raw, nodes[0].addr); err != nil {
+				t.Error(err)
+			}
+		}
+		if isUsage(d.raw) {
+			if _, _, err := parseMessage(d.raw); !errors.Is(err, errMalformedMessage) {
+				t.Errorf("an earlier release takes the message for one with loads: %v", err)
+			}
+			if _, _, err := parseUsage(d.raw[:len(d.raw)-1]); !errors.Is(err, errMalformedMessage) {
+				t.Errorf("a truncated message is accepted: %v", err)
+			}
+		}
+	}
+	got := receiver.merged["front-1"]
+	if len(got) != pwoverload.MaxReported || got[7].Workspace != 8 || got[7].Requests[pwoverload.Short] != 7 {
+		t.Errorf("merged %v", got)
+	}
+	for _, n := range nodes[1:] {
+		if n.view.mergeCount == 0 || !slices.Contains(n.view.merged["front-1"].Loads, load("e-1", 3)) {
+			t.Errorf("%s has merged the loads %v", n.addr, n.view.merged["front-1"].Loads)
+		}
+	}
+}
