--- a/internal/core/pwoverload/controller.go
+++ b/internal/core/pwoverload/controller.go
@@ -108,7 +108,7 @@
 	// PrefillMS is the prefill time on one engine, in milliseconds.
 	PrefillMS float64
 	// UntilTarget is the time left until the first token should be sent, and UntilAbandon
-	// that until the caller leaves.
+	// that until the caller leaves or the request stops waiting.
 	UntilTarget  time.Duration
 	UntilAbandon time.Duration
 }
@@ -125,6 +125,9 @@
 	// engine is given, both in milliseconds.
 	PrefillMS    float64
 	MaxPrefillMS float64
+	// FreedPrefillMS is the prefill, in milliseconds, that has ended on the engines so far. It
+	// never falls.
+	FreedPrefillMS float64
 	// IterationMS is the mean iteration of an engine without prefill, in milliseconds.
 	IterationMS float64
 	// Ahead is the number of requests of this process that wait and come first, and
@@ -184,6 +187,7 @@
 	// relaxedSince is when the pressure fell below the exit pressure, or zero.
 	relaxedSince time.Time
 	holds        [classCount]holdTime
+	freed        freedRate
 	usage        usage
 }
 
@@ -213,6 +217,7 @@
 
 // Observe updates the regime, and reports whether it has changed.
 func (c *Controller) Observe(now time.Time, r Room) (changed bool) {
+	c.freed.observe(now, r.FreedPrefillMS)
 	p := r.slotPressure()
 	c.pressure = max(p, r.prefillPressure())
 	switch {
@@ -326,7 +331,7 @@
 	ms := firstTokenIterations*r.IterationMS + o.PrefillMS
 	engines := float64(max(1, r.Engines))
 	if o.Class == Long {
-		ms = firstTokenIterations*r.IterationMS + (r.PrefillMS+r.AheadPrefillMS+o.PrefillMS)/engines
+		ms = firstTokenIterations*r.IterationMS + max((r.PrefillMS+r.AheadPrefillMS+o.PrefillMS)/engines, c.freed.waitMS(r.AheadPrefillMS))
 	}
 	if r.Slots > 0 && (r.Taken >= r.Slots || c.overloaded && o.Class == Short && !c.hasRoom(r)) {
 		ended := float64(r.Slots) / c.holds[min(o.Class, Long)].ms()
@@ -361,6 +366,33 @@
 	return base + time.Duration(c.cfg.Float64()*float64(base))
 }
 
+// freedRate is the rate at which prefill ends on the engines, as a decaying sum.
+type freedRate struct {
+	sum  demand
+	last float64
+}
+
+func (f *freedRate) observe(now time.Time, freedMS float64) {
+	f.sum.decay(now)
+	if freedMS > f.last && f.last > 0 {
+		f.sum.prefillMS += freedMS - f.last
+	}
+	f.last = max(f.last, freedMS)
+}
+
+// minFreedPerSecond is the rate, in milliseconds of prefill a second, below which nothing is
+// predicted from it.
+const minFreedPerSecond = 1000.0
+
+// waitMS returns how long it takes until prefill that is queued ahead has found room.
+func (f *freedRate) waitMS(aheadMS float64) float64 {
+	rate := f.sum.prefillMS * perSecond
+	if rate < minFreedPerSecond {
+		return 0
+	}
+	return 1000 * aheadMS / rate
+}
+
 // holdTime is a moving mean of how long requests hold a slot.
 type holdTime struct {
 	meanMS float64
--- a/internal/node/pwgateway/overload.go
+++ b/internal/node/pwgateway/overload.go
@@ -86,7 +86,13 @@
 		short:   p.short,
 	}
 	room.Ahead, room.AheadPrefillMS = ahead.requests[key], ahead.prefillMS[key]
+	if !p.short {
+		_, queued := d.turns.Ahead(now, p.rank(now))
+		room.AheadPrefillMS += queued
+	}
+	before := d.overload.Overloaded()
 	decision := d.overload.Recheck(now, p.offer(now), room)
+	d.logRegime(before, room)
 	if !decision.Admitted {
 		d.countDecision(now, p, decision)
 		return false, newOverloadRefusal(decision)
@@ -99,12 +105,17 @@
 
 // offer describes the request to pwoverload.
 func (p *pendingRequest) offer(now time.Time) pwoverload.Offer {
+	latest := p.abandonAt
+	if !p.short {
+		// It is refused then if it still waits.
+		latest = p.capacityWaitUntil
+	}
 	return pwoverload.Offer{
 		Workspace:    xxhash.Sum64String(p.workspace),
 		Class:        p.class(),
 		PrefillMS:    p.prefillMS,
 		UntilTarget:  p.firstTokenDeadline.Sub(now),
-		UntilAbandon: p.abandonAt.Sub(now),
+		UntilAbandon: latest.Sub(now),
 	}
 }
 
@@ -119,14 +130,15 @@
 func (d *dispatcher) room(now time.Time, service string) (pwoverload.Room, bool) {
 	r, ok := d.fleet.Room(now, service)
 	return pwoverload.Room{
-		Engines:      r.Engines,
-		Slots:        r.Slots,
-		Taken:        r.Taken,
-		Own:          r.Own,
-		PrefillMS:    r.PrefillMS,
-		MaxPrefillMS: r.MaxPrefillMS,
-		IterationMS:  r.IterationMS,
-		Processes:    r.Processes,
+		Engines:        r.Engines,
+		Slots:          r.Slots,
+		Taken:          r.Taken,
+		Own:            r.Own,
+		PrefillMS:      r.PrefillMS,
+		MaxPrefillMS:   r.MaxPrefillMS,
+		FreedPrefillMS: d.fleet.FreedPrefillMS(),
+		IterationMS:    r.IterationMS,
+		Processes:      r.Processes,
 	}, ok
 }
 
