--- a/internal/core/pwoverload/overload_test.go
+++ b/internal/core/pwoverload/overload_test.go
@@ -36,10 +36,6 @@
 	returned map[int]int
 }
 
-func (r result) share(workspace int) float64 {
-	return float64(r.inAim[workspace]) / float64(max(1, r.offered[workspace]))
-}
-
 func sum(list []int) int {
 	n := 0
 	for _, x := range list {
--- a/internal/core/pwoverload/usage.go
+++ b/internal/core/pwoverload/usage.go
@@ -9,12 +9,13 @@
 
 const (
 	// demandHalfLife is the time after which an offered request counts half. It is
-	// shorter than a request holds its slot, so that a workspace that grows is recognized
+	// shorter than a request holds its slot, so that a workspace that grows is seen
 	// before it has taken them all.
 	demandHalfLife = 500 * time.Millisecond
-	// maxWorkspaces bounds the workspaces that are kept, and MaxReported those of a report.
+	// maxWorkspaces bounds the workspaces that are kept.
 	maxWorkspaces = 1024
-	MaxReported   = 24
+	// MaxReported bounds the workspaces of a report.
+	MaxReported = 24
 	// maxPeers bounds the peers whose reports are kept.
 	maxPeers = 1024
 	// levelInterval is how often the levels are computed again.
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -100,6 +100,8 @@
 	// divides its callers into workspaces.
 	overload *pwoverload.Controller
 	sheds    bool
+	// shortWaiting counts the short prompts in the queue by service.
+	shortWaiting map[string]int
 	// decisionLines counts the log lines about decisions in decisionsSecond.
 	decisionsSecond time.Time
 	decisionLines   int
@@ -115,6 +117,7 @@
 	}
 	return &dispatcher{
 		overload:     overload,
+		shortWaiting: make(map[string]int),
 		deployment:   d,
 		policy:       p,
 		obs:          obs,
@@ -297,6 +300,7 @@
 	}
 	p.result = make(chan placement, 1)
 	d.waiting = append(d.waiting, p)
+	d.countWaiting(p, 1)
 	return nil
 }
 
@@ -404,6 +408,7 @@
 	for _, p := range d.waiting {
 		wait, err := d.recheck(now, p, &ahead)
 		if err != nil {
+			d.countWaiting(p, -1)
 			p.deliver(placement{
 				err: err,
 			})
@@ -430,6 +435,7 @@
 			continue
 		}
 		placed.err = d.describeRefusal(now, p, placed.err)
+		d.countWaiting(p, -1)
 		p.deliver(placed)
 	}
 	clear(d.waiting[len(stillWaiting):])
@@ -450,7 +456,19 @@
 
 // removeWaiting removes a request from the queue after its caller has left.
 func (d *dispatcher) removeWaiting(p *pendingRequest) {
+	n := len(d.waiting)
 	d.waiting = slices.DeleteFunc(d.waiting, func(other *pendingRequest) bool { return other == p })
+	d.countWaiting(p, len(d.waiting)-n)
+}
+
+// countWaiting counts short prompts that were added to the queue or removed from it.
+func (d *dispatcher) countWaiting(p *pendingRequest, n int) {
+	if !p.short || n == 0 {
+		return
+	}
+	if d.shortWaiting[p.req.Service] += n; d.shortWaiting[p.req.Service] <= 0 {
+		delete(d.shortWaiting, p.req.Service)
+	}
 }
 
 // jitter returns a random duration between 0.5 and 1.5 times d.
--- a/internal/node/pwgateway/overload.go
+++ b/internal/node/pwgateway/overload.go
@@ -39,13 +39,14 @@
 	if !ok {
 		return false, nil
 	}
-	for _, other := range d.waiting {
-		if other.req.Service == p.req.Service && other.short == p.short && compareQueueOrder(other, p, now) < 0 {
-			room.Ahead++
-			room.AheadPrefillMS += other.prefillMS
+	if p.short {
+		room.Ahead = d.shortWaiting[p.req.Service]
+	} else {
+		for _, other := range d.waiting {
+			if other.req.Service == p.req.Service && !other.short && compareQueueOrder(other, p, now) < 0 {
+				room.AheadPrefillMS += other.prefillMS
+			}
 		}
-	}
-	if !p.short {
 		_, queued := d.turns.Ahead(now, p.rank(now))
 		room.AheadPrefillMS += queued
 	}
