--- a/internal/cli/pwgatewaycommand/tuning_test.go
+++ b/internal/cli/pwgatewaycommand/tuning_test.go
@@ -13,12 +13,21 @@
 	if got, err := ParseTuning([]byte(`{}`)); err != nil || !got.LogRequests {
 		t.Errorf("%+v, %v", got, err)
 	}
+	if got, err := ParseTuning([]byte(`{}`)); err != nil || got.policy().Overload != nil {
+		t.Errorf("admission under overload is on without its settings: %+v, %v", got, err)
+	}
+	if got, err := ParseTuning([]byte(`{"overload":{"fill_share":0.9}}`)); err != nil || got.policy().Overload.FillShare != 0.9 || got.policy().Overload.SlotShare <= 0 {
+		t.Errorf("%+v, %v", got.Overload, err)
+	}
 	for text, want := range map[string]string{
 		`{"part_ms":-1}`:                      "part_ms is -1; it must be from 0 to 60000",
 		`{"short_fill":2}`:                    "short_fill is 2; it must be from 0 to 1",
 		`{"part":1}`:                          `unknown field "part"`,
 		`{"part_ms":"much"}`:                  "part_ms",
 		`{} {}`:                               "data after its JSON object",
+		`{"overload":{"enter_share":0.5}}`:    "exit_share is 0.65; it must be less than overload.enter_share",
+		`{"overload":{"slot_share":2}}`:       "overload.slot_share is 2; it must be from 0 to 1",
+		`{"overload":{"slots":1}}`:            `unknown field "slots"`,
 		`{"max_waiting":2e7}`:                 "max_waiting",
 		strings.Repeat(" ", maxTuningBytes+1): "are allowed",
 	} {
--- a/internal/core/pwoverload/controller.go
+++ b/internal/core/pwoverload/controller.go
@@ -363,7 +363,7 @@
 func (c *Controller) retryAfter(d Decision) time.Duration {
 	room := milliseconds(c.holds[Short].ms() * max(1, 1/max(0.05, d.Share)-1))
 	base := max(minRetryAfter, min(room, c.cfg.MaxRetryAfter/2))
-	return base + time.Duration(c.cfg.Float64()*float64(base))
+	return min(c.cfg.MaxRetryAfter, base+time.Duration(c.cfg.Float64()*float64(base)))
 }
 
 // freedRate is the rate at which prefill ends on the engines, as a decaying sum.
--- a/internal/core/pwoverload/usage.go
+++ b/internal/core/pwoverload/usage.go
@@ -187,13 +187,13 @@
 	return out
 }
 
-// MergeUsage replaces the report of a peer.
+// MergeUsage replaces the report of a peer. The list must not be changed afterwards.
 func (c *Controller) MergeUsage(now time.Time, peer string, list []Usage) {
 	if _, known := c.usage.reports[peer]; !known && len(c.usage.reports) >= maxPeers {
 		return
 	}
 	c.usage.reports[peer] = report{
-		list:       slices.Clone(list[:min(len(list), MaxReported)]),
+		list:       list[:min(len(list), MaxReported)],
 		receivedAt: now,
 	}
 }
