Give each size class the share of its own resource

Prefill is now counted with a half-life of 4 s, and the share of long prompts counts once they queue for half of their target.

--- a/internal/core/pwoverload/controller.go
+++ b/internal/core/pwoverload/controller.go
@@ -237,6 +237,10 @@
 	return false
 }
 
+// queuedShare is the part of the time to the target from which long requests are refused for
+// their share. Below it there is room for all of them.
+const queuedShare = 0.5
+
 // Offer decides about a request that has just arrived, and counts it as demand of its
 // workspace.
 func (c *Controller) Offer(now time.Time, o Offer, r Room) Decision {
@@ -247,7 +251,7 @@
 		return d.admit(ReasonNormal)
 	}
 	d.Share = c.usage.share(now, w, o, c.capacity(r), c.cfg.ReportExpiry)
-	if !w.take(o.Class, d.Share) {
+	if !w.take(o.Class, d.Share) && (o.Class == Short || d.Predicted > time.Duration(queuedShare*float64(o.UntilTarget))) {
 		return c.refuse(d, ReasonShare)
 	}
 	return c.decideByTime(d, o, r)
@@ -386,7 +390,7 @@
 
 // waitMS returns how long it takes until prefill that is queued ahead has found room.
 func (f *freedRate) waitMS(aheadMS float64) float64 {
-	rate := f.sum.prefillMS * perSecond
+	rate := f.sum.prefillMS * prefillPerSecond
 	if rate < minFreedPerSecond {
 		return 0
 	}
--- a/internal/core/pwoverload/overload_test.go
+++ b/internal/core/pwoverload/overload_test.go
@@ -237,7 +237,7 @@
 				if name != "all" {
 					continue
 				}
-				l.length = simLength / 4
+				l.length = simLength / 2
 			}
 			l.processes, l.perSecond = processes, usual(3)
 			before := simulate(l)
@@ -379,8 +379,10 @@
 			Taken:        100,
 			PrefillMS:    simEngines * 450,
 			MaxPrefillMS: 500,
-			IterationMS:  70,
-			Processes:    1,
+			// Prompts queue for two seconds.
+			AheadPrefillMS: simEngines * 2000,
+			IterationMS:    70,
+			Processes:      1,
 		})
 		list = append(list, prompt{
 			ms:       ms,
--- a/internal/core/pwoverload/usage.go
+++ b/internal/core/pwoverload/usage.go
@@ -12,6 +12,9 @@
 	// shorter than a request holds its slot, so that a workspace that grows is seen
 	// before it has taken them all.
 	demandHalfLife = 500 * time.Millisecond
+	// prefillHalfLife is the same for prefill. Long prompts are few, and the prefill of one may
+	// be many times that of another.
+	prefillHalfLife = 4 * time.Second
 	// maxWorkspaces bounds the workspaces that are kept.
 	maxWorkspaces = 1024
 	// MaxReported bounds the workspaces of a report.
@@ -32,15 +35,18 @@
 	PrefillMS float64
 }
 
-// demand is what a workspace has lately asked for, as sums that decay with demandHalfLife.
+// demand is what a workspace has lately asked for, as decaying sums.
 type demand struct {
 	requests  [classCount]float64
 	prefillMS float64
 	at        time.Time
 }
 
-// perSecond turns a decaying sum into a rate.
-const perSecond = math.Ln2 / (float64(demandHalfLife) / float64(time.Second))
+// perSecond and prefillPerSecond turn a decaying sum into a rate.
+const (
+	perSecond        = math.Ln2 / (float64(demandHalfLife) / float64(time.Second))
+	prefillPerSecond = math.Ln2 / (float64(prefillHalfLife) / float64(time.Second))
+)
 
 func (d *demand) decay(now time.Time) {
 	if elapsed := now.Sub(d.at); !d.at.IsZero() && elapsed > 0 {
@@ -48,7 +54,7 @@
 		for i := range d.requests {
 			d.requests[i] *= f
 		}
-		d.prefillMS *= f
+		d.prefillMS *= math.Exp2(-float64(elapsed) / float64(prefillHalfLife))
 	}
 	d.at = now
 }
@@ -177,7 +183,7 @@
 	for _, w := range list[:min(len(list), MaxReported)] {
 		item := Usage{
 			Workspace: w.hash,
-			PrefillMS: w.prefillMS * perSecond,
+			PrefillMS: w.prefillMS * prefillPerSecond,
 		}
 		for class, n := range w.requests {
 			item.Requests[class] = n * perSecond
@@ -211,19 +217,18 @@
 	return !math.IsInf(u.slotLevel, 1) || !math.IsInf(u.prefillLevel, 1)
 }
 
-// share returns which part of a workspace's requests is admitted. Long requests also need
-// the workspace's share of the prefill.
+// share returns which part of a workspace's requests is admitted: of the short ones by its
+// slots, of the long ones by its prefill.
 func (u *usage) share(now time.Time, w *workspace, o Offer, c capacity, expiry time.Duration) float64 {
 	u.refresh(now, c, expiry)
 	total, known := u.total[w.hash]
 	if !known {
 		return 1
 	}
-	share := part(u.slotLevel, total.slots)
 	if o.Class == Long {
-		share = min(share, part(u.prefillLevel, total.prefillMS))
+		return part(u.prefillLevel, total.prefillMS)
 	}
-	return share
+	return part(u.slotLevel, total.slots)
 }
 
 func part(level, demand float64) float64 {
@@ -246,7 +251,11 @@
 	heardShare := min(1, float64(1+len(u.reports))/float64(max(1, c.processes)))
 	for _, w := range u.own {
 		w.decay(now)
-		u.add(w.hash, w.requests, w.prefillMS, c, perSecond/heardShare)
+		requests := w.requests
+		for class := range requests {
+			requests[class] *= perSecond
+		}
+		u.add(w.hash, requests, w.prefillMS*prefillPerSecond, c, 1/heardShare)
 	}
 	for _, r := range u.reports {
 		for _, item := range r.list {
