Decide under overload for each service by itself

The rooms of two services with engines would have been observed by turns in one controller, whose regime would have flapped. A request whose reservation fails is asked about once only.

--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -96,9 +96,10 @@
 	// freedMS is the fleet's FreedPrefillMS when turns last recorded that engines became
 	// free.
 	freedMS float64
-	// overload is nil unless the settings hold it. sheds is set while the configuration
-	// divides its callers into workspaces.
-	overload *pwoverload.Controller
+	// overload holds the controller of each service with engines. It stays empty unless the
+	// settings hold overload. sheds is set while the configuration divides
+	// its callers into workspaces.
+	overload map[string]*pwoverload.Controller
 	sheds    bool
 	// shortWaiting counts the short prompts in the queue by service.
 	shortWaiting map[string]int
@@ -111,12 +112,8 @@
 
 func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
 	f.SetColdBounds(d.Bounds.ColdRateFactor, d.Bounds.ColdRateSlack)
-	var overload *pwoverload.Controller
-	if p.Overload != nil {
-		overload = pwoverload.New(*p.Overload)
-	}
 	return &dispatcher{
-		overload:     overload,
+		overload:     make(map[string]*pwoverload.Controller),
 		shortWaiting: make(map[string]int),
 		deployment:   d,
 		policy:       p,
@@ -136,7 +133,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.Configure(c.Services())
-	d.sheds = c.RequiresKey()
+	d.configureOverload(c)
 }
 
 func (d *dispatcher) setBounds(b pwdeployment.Bounds) {
@@ -342,7 +339,7 @@
 func (d *dispatcher) mayWait(now time.Time, p *pendingRequest, err error) bool {
 	switch pwverdict.CauseOf(err) {
 	case pwverdict.CausePrefillBusy, pwverdict.CauseMemoryFull, pwverdict.CauseConcurrencyFull:
-		return now.Before(p.abandonAt) && (p.short || now.Before(p.capacityWaitUntil))
+		return now.Before(p.abandonAt) && (p.short && !d.shedsNow(p) || now.Before(p.capacityWaitUntil))
 	case pwverdict.CauseNoCandidate:
 		return now.Add(pwverdict.AsError(err).RetryAfter()).Before(p.noServerWaitUntil)
 	default:
--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -353,7 +353,7 @@
 		noServerWaitUntil:  x.arrivedAt.Add(time.Duration(x.g.cfg.Policy.NoServerWaitShare * float64(x.target()))),
 		capacityWaitUntil:  x.deadline,
 		// An attempt that is repeated has had its turn already.
-		mayShed: x.route.Target > 0 && x.sends == 0 && !x.headWritten,
+		mayShed: x.route.Target > 0 && x.sends == 0 && x.rejections == 0 && !x.headWritten,
 	}
 	if x.route.Kind == pwcatalog.Streaming {
 		abandonTime := x.g.cfg.Policy.abandonTime(x.route)
--- a/internal/node/pwgateway/overload.go
+++ b/internal/node/pwgateway/overload.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
@@ -30,13 +31,39 @@
 
 // shedsNow reports whether the request may be refused because of an overload.
 func (d *dispatcher) shedsNow(p *pendingRequest) bool {
-	return d.overload != nil && d.sheds && p.mayShed && d.overload.Overloaded()
+	c := d.overload[p.req.Service]
+	return c != nil && d.sheds && p.mayShed && c.Overloaded()
+}
+
+// maxOverloadServices bounds the services with a controller. Those beyond it refuse nothing.
+const maxOverloadServices = 64
+
+// configureOverload makes a controller for each service with engines, and keeps those that
+// there are. Also a gateway that is offered nothing tells so, and counts as heard.
+func (d *dispatcher) configureOverload(catalog *pwcatalog.Catalog) {
+	if d.policy.Overload == nil {
+		return
+	}
+	d.sheds = catalog.RequiresKey()
+	before := d.overload
+	d.overload = make(map[string]*pwoverload.Controller)
+	for _, s := range catalog.Services() {
+		if s.Engine == nil || len(d.overload) >= maxOverloadServices {
+			continue
+		}
+		c := before[s.Name]
+		if c == nil {
+			c = pwoverload.New(*d.policy.Overload)
+		}
+		d.overload[s.Name] = c
+	}
 }
 
 // admit decides about a request that has just arrived. wait is set if it has to wait for a
 // slot. It returns an error for one that is refused.
 func (d *dispatcher) admit(now time.Time, p *pendingRequest) (wait bool, err error) {
-	if d.overload == nil || !d.sheds || !p.mayShed {
+	c := d.overload[p.req.Service]
+	if c == nil || !d.sheds || !p.mayShed {
 		return false, nil
 	}
 	room, ok := d.room(now, p.req.Service)
@@ -54,9 +81,9 @@
 		_, queued := d.turns.Ahead(now, p.rank(now))
 		room.AheadPrefillMS += queuedAheadShare * queued
 	}
-	before := d.overload.Overloaded()
-	decision := d.overload.Offer(now, p.offer(now), room)
-	d.logRegime(before, room)
+	before := c.Overloaded()
+	decision := c.Offer(now, p.offer(now), room)
+	d.logRegime(p.req.Service, before, room)
 	d.countDecision(now, p, decision)
 	if !decision.Admitted {
 		return false, newOverloadRefusal(decision)
@@ -95,9 +122,9 @@
 		_, queued := d.turns.Ahead(now, p.rank(now))
 		room.AheadPrefillMS += queuedAheadShare * queued
 	}
-	before := d.overload.Overloaded()
-	decision := d.overload.Recheck(now, p.offer(now), room)
-	d.logRegime(before, room)
+	c := d.overload[p.req.Service]
+	decision := c.Recheck(now, p.offer(now), room)
+	d.logRegime(p.req.Service, true, room)
 	if !decision.Admitted {
 		d.countDecision(now, p, decision)
 		return false, newOverloadRefusal(decision)
@@ -147,29 +174,40 @@
 	}, ok
 }
 
-// ownUsage returns the demand of this process's workspaces. It returns false while the peers
-// need not hear of it at once.
-func (d *dispatcher) ownUsage() (list []pwoverload.Usage, urgent bool) {
+// ownUsage returns the demand of this process's workspaces by service. urgent is false while
+// the peers need not hear of it at once.
+func (d *dispatcher) ownUsage() (byService map[uint64][]pwoverload.Usage, urgent bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.overload.Usage(time.Now()), d.overload.Busy()
+	byService = make(map[uint64][]pwoverload.Usage, len(d.overload))
+	for service, c := range d.overload {
+		byService[xxhash.Sum64String(service)] = c.Usage(time.Now())
+		urgent = urgent || c.Busy()
+	}
+	return byService, urgent
 }
 
-func (d *dispatcher) mergeUsage(peer string, list []pwoverload.Usage) {
+// mergeUsage merges the demand that a peer reported of a service.
+func (d *dispatcher) mergeUsage(peer string, service uint64, list []pwoverload.Usage) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.overload.MergeUsage(time.Now(), peer, list)
+	for name, c := range d.overload {
+		if xxhash.Sum64String(name) == service {
+			c.MergeUsage(time.Now(), peer, list)
+		}
+	}
 }
 
 // end ends the assignment of a request, and records how long it held its slot.
 func (d *dispatcher) end(plan pwfleet.Plan, assignment *pwfleet.Assignment, placedAt time.Time) {
 	d.withFleet(func(time.Time, *pwfleet.Fleet) {
-		if d.overload != nil && assignment.PrefillEnded() && plan.PartPrefillMS > 0 {
+		c := d.overload[plan.Server.Service]
+		if c != nil && assignment.PrefillEnded() && plan.PartPrefillMS > 0 {
 			class := pwoverload.Long
 			if plan.Short {
 				class = pwoverload.Short
 			}
-			d.overload.RecordEnd(class, time.Since(placedAt))
+			c.RecordEnd(class, time.Since(placedAt))
 		}
 		assignment.End()
 	})
@@ -238,18 +276,21 @@
 	x.g.obs.Count("overload_"+result+sizeClass(p), 1)
 }
 
-// logRegime logs a change of the regime.
-func (d *dispatcher) logRegime(before bool, r pwoverload.Room) {
-	after := d.overload.Overloaded()
+// logRegime logs a change of the regime of a service.
+func (d *dispatcher) logRegime(service string, before bool, r pwoverload.Room) {
+	after := d.overload[service].Overloaded()
 	if before == after {
 		return
 	}
 	overloaded := int64(0)
-	if after {
-		overloaded = 1
+	for _, c := range d.overload {
+		if c.Overloaded() {
+			overloaded++
+		}
 	}
-	d.obs.SetGauge("overloaded", overloaded)
+	d.obs.SetGauge("overloaded_services", overloaded)
 	d.obs.LogEvent("overload", log.Fields{
+		"service":     service,
 		"overloaded":  after,
 		"engines":     r.Engines,
 		"slots":       r.Slots,
--- a/internal/node/pwgateway/peers.go
+++ b/internal/node/pwgateway/peers.go
@@ -40,11 +40,13 @@
 func (g *Gateway) OwnLimits() []pwfleet.LimitReport { return g.dispatcher.ownLimits() }
 
 // OwnUsage implements pwpeering.UsageView.
-func (g *Gateway) OwnUsage() (list []pwoverload.Usage, urgent bool) { return g.dispatcher.ownUsage() }
+func (g *Gateway) OwnUsage() (byService map[uint64][]pwoverload.Usage, urgent bool) {
+	return g.dispatcher.ownUsage()
+}
 
 // MergeUsage implements pwpeering.UsageView.
-func (g *Gateway) MergeUsage(peer string, list []pwoverload.Usage) {
-	g.dispatcher.mergeUsage(peer, list)
+func (g *Gateway) MergeUsage(peer string, service uint64, list []pwoverload.Usage) {
+	g.dispatcher.mergeUsage(peer, service, list)
 }
 
 // MergePeer implements pwpeering.View.
--- a/internal/node/pwpeering/peering_test.go
+++ b/internal/node/pwpeering/peering_test.go
@@ -513,7 +513,7 @@
 		incarnation: 1,
 		sequence:    1,
 		cell:        pwcell.Whole(),
-	}, make([]pwoverload.Usage, 2)))
+	}, 42, make([]pwoverload.Usage, 2)))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		nodes := newNodes(2)
 		err := nodes[1].handleMessage(raw, nodes[0].addr)
@@ -524,11 +524,11 @@
 			return
 		}
 		if isUsage(raw) {
-			e, list, err := parseUsage(raw)
+			e, service, list, err := parseUsage(raw)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if again := encodeUsage(e, list); len(again) != len(raw) {
+			if again := encodeUsage(e, service, list); len(again) != len(raw) {
 				t.Errorf("a usage message of %d bytes has %d when it is encoded again", len(raw), len(again))
 			}
 			return
--- a/internal/node/pwpeering/usage.go
+++ b/internal/node/pwpeering/usage.go
@@ -14,7 +14,7 @@
 // drop it and still merge the loads. The largest stays below the usual MTU.
 const (
 	usageMagic       = uint32(0x70777531)
-	usageHeaderBytes = 4 + 8 + 8 + 2 + 2 + 1
+	usageHeaderBytes = 4 + 8 + 8 + 2 + 2 + 8 + 1
 	usageBytes       = 8 + 4 + 4 + 4
 	// usageUnit is the unit of a rate, in requests or milliseconds of prefill a second.
 	usageUnit = 0.01
@@ -22,37 +22,41 @@
 
 // UsageView provides the demand of the workspaces that processes of a cell tell each other.
 type UsageView interface {
-	// OwnUsage returns the demand of this process. urgent is set if it should be told with
-	// each heartbeat; otherwise it is told once in fullInterval.
-	OwnUsage() (list []pwoverload.Usage, urgent bool)
-	// MergeUsage replaces the demand that a peer reported.
-	MergeUsage(peer string, list []pwoverload.Usage)
+	// OwnUsage returns the demand of this process by the hash of the service. urgent is set if
+	// it should be told with each heartbeat; otherwise it is told once in fullInterval.
+	OwnUsage() (byService map[uint64][]pwoverload.Usage, urgent bool)
+	// MergeUsage replaces the demand that a peer reported of a service.
+	MergeUsage(peer string, service uint64, list []pwoverload.Usage)
 }
 
-// usageDatagrams returns the usage message if it is due.
+// usageDatagrams returns the usage messages if they are due, one for each service.
 func (x *Exchange) usageDatagrams(cell pwcell.Cell, recipients []netip.AddrPort) []datagram {
 	if x.cfg.Usage == nil || len(recipients) == 0 {
 		return nil
 	}
-	list, urgent := x.cfg.Usage.OwnUsage()
+	byService, urgent := x.cfg.Usage.OwnUsage()
 	if !urgent && time.Since(x.usageSentAt) < fullInterval {
 		return nil
 	}
 	x.usageSentAt = time.Now()
-	x.sequence++
-	return []datagram{{
-		raw: encodeUsage(envelope{
-			incarnation: x.incarnation,
-			sequence:    x.sequence,
-			cell:        cell,
-		}, firstN(list, pwoverload.MaxReported)),
-		recipients: recipients,
-	}}
+	out := make([]datagram, 0, len(byService))
+	for service, list := range byService {
+		x.sequence++
+		out = append(out, datagram{
+			raw: encodeUsage(envelope{
+				incarnation: x.incarnation,
+				sequence:    x.sequence,
+				cell:        cell,
+			}, service, firstN(list, pwoverload.MaxReported)),
+			recipients: recipients,
+		})
+	}
+	return out
 }
 
 // handleUsage decodes a usage message and merges it if its sender is in the own cell.
 func (x *Exchange) handleUsage(raw []byte, from netip.AddrPort) error {
-	e, list, err := parseUsage(raw)
+	e, service, list, err := parseUsage(raw)
 	if err != nil {
 		return err
 	}
@@ -64,7 +68,7 @@
 		return nil
 	}
 	if own, _ := x.view.Cell(); e.cell.Overlaps(own) {
-		x.cfg.Usage.MergeUsage(name, list)
+		x.cfg.Usage.MergeUsage(name, service, list)
 	}
 	return nil
 }
@@ -74,7 +78,7 @@
 }
 
 // encodeUsage encodes a usage message in little-endian byte order.
-func encodeUsage(e envelope, list []pwoverload.Usage) []byte {
+func encodeUsage(e envelope, service uint64, list []pwoverload.Usage) []byte {
 	le := binary.LittleEndian
 	b := make([]byte, 0, usageHeaderBytes+len(list)*usageBytes)
 	b = le.AppendUint32(b, usageMagic)
@@ -82,6 +86,7 @@
 	b = le.AppendUint64(b, e.sequence)
 	b = le.AppendUint16(b, uint16(e.cell.Index))
 	b = le.AppendUint16(b, uint16(e.cell.Count))
+	b = le.AppendUint64(b, service)
 	b = append(b, byte(len(list)))
 	for _, u := range list {
 		b = le.AppendUint64(b, u.Workspace)
@@ -95,12 +100,12 @@
 func clampUint32(x float64) uint32 { return uint32(max(0, min(math.MaxUint32, x))) }
 
 // parseUsage decodes a usage message.
-func parseUsage(raw []byte) (envelope, []pwoverload.Usage, error) {
+func parseUsage(raw []byte) (e envelope, service uint64, list []pwoverload.Usage, err error) {
 	le := binary.LittleEndian
 	if len(raw) < usageHeaderBytes || !isUsage(raw) {
-		return envelope{}, nil, errMalformedMessage
+		return envelope{}, 0, nil, errMalformedMessage
 	}
-	e := envelope{
+	e = envelope{
 		incarnation: le.Uint64(raw[4:]),
 		sequence:    le.Uint64(raw[12:]),
 		cell: pwcell.Cell{
@@ -108,11 +113,12 @@
 			Count: int(le.Uint16(raw[22:])),
 		},
 	}
-	n := int(raw[24])
+	service = le.Uint64(raw[24:])
+	n := int(raw[32])
 	if n > pwoverload.MaxReported || !e.cell.IsValid() || len(raw) != usageHeaderBytes+n*usageBytes {
-		return envelope{}, nil, errMalformedMessage
+		return envelope{}, 0, nil, errMalformedMessage
 	}
-	list := make([]pwoverload.Usage, n)
+	list = make([]pwoverload.Usage, n)
 	raw = raw[usageHeaderBytes:]
 	for i := range list {
 		list[i].Workspace = le.Uint64(raw)
@@ -121,5 +127,5 @@
 		list[i].PrefillMS = float64(le.Uint32(raw[16:])) * usageUnit
 		raw = raw[usageBytes:]
 	}
-	return e, list, nil
+	return e, service, list, nil
 }
--- a/internal/node/pwpeering/usage_test.go
+++ b/internal/node/pwpeering/usage_test.go
@@ -10,15 +10,24 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
 )
 
+const testService = 42
+
 // fakeUsage records the demand that was merged.
 type fakeUsage struct {
 	own    []pwoverload.Usage
 	merged map[string][]pwoverload.Usage
 }
 
-func (u *fakeUsage) OwnUsage() ([]pwoverload.Usage, bool) { return u.own, true }
-func (u *fakeUsage) MergeUsage(peer string, list []pwoverload.Usage) {
-	u.merged[peer] = list
+func (u *fakeUsage) OwnUsage() (map[uint64][]pwoverload.Usage, bool) {
+	return map[uint64][]pwoverload.Usage{
+		testService: u.own,
+	}, true
+}
+
+func (u *fakeUsage) MergeUsage(peer string, service uint64, list []pwoverload.Usage) {
+	if service == testService {
+		u.merged[peer] = list
+	}
 }
 
 // The demand of the workspaces must reach the peers, bounded in number and size, and a peer
@@ -51,7 +60,7 @@
 			if _, _, err := parseMessage(d.raw); !errors.Is(err, errMalformedMessage) {
 				t.Errorf("an earlier release takes the message for one with loads: %v", err)
 			}
-			if _, _, err := parseUsage(d.raw[:len(d.raw)-1]); !errors.Is(err, errMalformedMessage) {
+			if _, _, _, err := parseUsage(d.raw[:len(d.raw)-1]); !errors.Is(err, errMalformedMessage) {
 				t.Errorf("a truncated message is accepted: %v", err)
 			}
 		}
