--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -14,6 +14,7 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcatalog"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwcell"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwfleet"
+	"github.com/pomeloweir/pomeloweir/internal/core/pwoverload"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwturn"
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 	"github.com/pomeloweir/pomeloweir/internal/node/pwcontrol"
@@ -63,6 +64,10 @@
 	// noServerWaitUntil is when the request stops waiting while no server is eligible.
 	noServerWaitUntil time.Time
 	result            chan placement
+	// mayShed is set if the request may be refused in overload.
+	mayShed bool
+	// urgent is set for a request that exceeds the slots of the engines even in overload.
+	urgent bool
 	// blockedBy is why the request could not be placed when that was last tried.
 	blockedBy error
 }
@@ -91,6 +96,16 @@
 	// freedMS is the fleet's FreedPrefillMS when turns last recorded that engines became
 	// free.
 	freedMS float64
+	// overload holds the controller of each service with engines. It stays empty unless the
+	// settings hold overload. sheds is set while the configuration divides
+	// its callers into workspaces.
+	overload map[string]*pwoverload.Controller
+	sheds    bool
+	// shortWaiting counts the short prompts in the queue by service.
+	shortWaiting map[string]int
+	// decisionLines counts the log lines about decisions in decisionsSecond.
+	decisionsSecond time.Time
+	decisionLines   int
 	// loggedCell is the cell that was last logged.
 	loggedCell pwcell.Cell
 }
@@ -98,6 +113,8 @@
 func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
 	f.SetColdBounds(d.Bounds.ColdRateFactor, d.Bounds.ColdRateSlack)
 	return &dispatcher{
+		overload:     make(map[string]*pwoverload.Controller),
+		shortWaiting: make(map[string]int),
 		deployment:   d,
 		policy:       p,
 		obs:          obs,
@@ -116,6 +133,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.Configure(c.Services())
+	d.configureOverload(c)
 }
 
 func (d *dispatcher) setBounds(b pwdeployment.Bounds) {
@@ -203,7 +221,12 @@
 	p.short = d.fleet.IsShort(p.req)
 	p.prefillMS = d.fleet.PrefillMS(p.req)
 	p.latestPrefillStart = p.firstTokenDeadline.Add(-time.Duration(p.prefillMS / assumedPrefillEngines * float64(time.Millisecond)))
-	if p.short || d.isFirst(now, p) {
+	wait, err := d.admit(now, p)
+	if err != nil {
+		d.mu.Unlock()
+		return pwfleet.Plan{}, nil, err
+	}
+	if !wait && (p.short || d.isFirst(now, p)) {
 		if placed := d.tryPlace(now, p); placed.err == nil || !d.mayWait(now, p, placed.err) {
 			placed.err = d.describeRefusal(now, p, placed.err)
 			d.mu.Unlock()
@@ -211,7 +234,7 @@
 			return placed.plan, placed.assignment, placed.err
 		}
 	}
-	if err := d.enqueue(now, p); err != nil {
+	if err = d.enqueue(now, p); err != nil {
 		d.mu.Unlock()
 		return pwfleet.Plan{}, nil, err
 	}
@@ -274,6 +297,7 @@
 	}
 	p.result = make(chan placement, 1)
 	d.waiting = append(d.waiting, p)
+	d.countWaiting(p, 1)
 	return nil
 }
 
@@ -295,7 +319,7 @@
 // tryPlace plans a request and assigns its load to the planned servers.
 func (d *dispatcher) tryPlace(now time.Time, p *pendingRequest) placement {
 	req := p.req
-	req.Urgent = now.After(p.capacityWaitUntil)
+	req.Urgent = p.urgent || now.After(p.capacityWaitUntil) && !d.shedsNow(p)
 	req.Late = p.lateRank(now) == 1
 	plan, err := d.fleet.Plan(now, req)
 	if err != nil {
@@ -315,7 +339,7 @@
 func (d *dispatcher) mayWait(now time.Time, p *pendingRequest, err error) bool {
 	switch pwverdict.CauseOf(err) {
 	case pwverdict.CausePrefillBusy, pwverdict.CauseMemoryFull, pwverdict.CauseConcurrencyFull:
-		return now.Before(p.abandonAt) && (p.short || now.Before(p.capacityWaitUntil))
+		return now.Before(p.abandonAt) && (p.short && !d.shedsNow(p) || now.Before(p.capacityWaitUntil))
 	case pwverdict.CauseNoCandidate:
 		return now.Add(pwverdict.AsError(err).RetryAfter()).Before(p.noServerWaitUntil)
 	default:
@@ -376,8 +400,21 @@
 	}
 	slices.SortStableFunc(d.waiting, func(a, b *pendingRequest) int { return compareQueueOrder(a, b, now) })
 	stillWaiting := d.waiting[:0]
+	var ahead queueAhead
 	ownTurn, decided := false, false
 	for _, p := range d.waiting {
+		wait, err := d.recheck(now, p, &ahead)
+		if err != nil {
+			d.countWaiting(p, -1)
+			p.deliver(placement{
+				err: err,
+			})
+			continue
+		}
+		if wait {
+			stillWaiting = append(stillWaiting, p)
+			continue
+		}
 		if !p.short && !decided {
 			ownTurn, decided = d.turns.Take(now, p.rank(now)), true
 		}
@@ -395,6 +432,7 @@
 			continue
 		}
 		placed.err = d.describeRefusal(now, p, placed.err)
+		d.countWaiting(p, -1)
 		p.deliver(placed)
 	}
 	clear(d.waiting[len(stillWaiting):])
@@ -415,7 +453,19 @@
 
 // removeWaiting removes a request from the queue after its caller has left.
 func (d *dispatcher) removeWaiting(p *pendingRequest) {
+	n := len(d.waiting)
 	d.waiting = slices.DeleteFunc(d.waiting, func(other *pendingRequest) bool { return other == p })
+	d.countWaiting(p, len(d.waiting)-n)
+}
+
+// countWaiting counts short prompts that were added to the queue or removed from it.
+func (d *dispatcher) countWaiting(p *pendingRequest, n int) {
+	if !p.short || n == 0 {
+		return
+	}
+	if d.shortWaiting[p.req.Service] += n; d.shortWaiting[p.req.Service] <= 0 {
+		delete(d.shortWaiting, p.req.Service)
+	}
 }
 
 // jitter returns a random duration between 0.5 and 1.5 times d.
