Place parts of long prompts one at a time while the mix turns

Engines prefill a newly arrived part of a divided prompt ahead of all other reads, also of the parts of earlier prompts. So a part that was queued behind another did not wait; it made the older one wait, under steady load until the load ebbed. At the same time an engine that had ended its part counted as busy until the last of up to 17 parts of the prompt had ended: 22 engines that decoded nothing stood at a mean of 1,407 ms in flight while long prompts were refused for want of room.

Change: while the mix turns, a part counts by its expected progress, as the engine model and the load ahead give it, and an engine gets a part of a long prompt only when it has ended the one before. Each gateway sees the turn itself, from the streams with short and long gaps that it and its peers have in flight: the last two seconds against the 18 before. Without "uneven_demand" in the tuning file nothing is watched. The turn is logged (uneven_demand) and counted (mix_turns).

--- a/internal/cli/pwgatewaycommand/tuning.go
+++ b/internal/cli/pwgatewaycommand/tuning.go
@@ -51,6 +51,17 @@
 	CellProcesses int     `json:"cell_processes"`
 	CellServers   int     `json:"cell_servers"`
 	LoadAgeMS     float64 `json:"load_age_ms"`
+	// UnevenDemand configures the placement while the mix of short and long prompts turns.
+	// Without it the mix isn't watched.
+	UnevenDemand *UnevenDemandTuning `json:"uneven_demand"`
+}
+
+// UnevenDemandTuning holds the settings for demand whose mix turns.
+type UnevenDemandTuning struct {
+	// TurnRatio is the factor by which the number of long prompts for each short one must
+	// change within seconds, and HoldS how many seconds the demand then counts as uneven.
+	TurnRatio float64 `json:"turn_ratio"`
+	HoldS     float64 `json:"hold_s"`
 }
 
 // LoadTuning reads the tuning file at path. An empty path gives the defaults.
@@ -114,9 +125,36 @@
 				"%s is %g; it must be from 0 to %g, where 0 is the default", f.name, f.value, f.max)
 		}
 	}
+	return t.UnevenDemand.check()
+}
+
+// check returns an error for the first field that is out of range.
+func (t *UnevenDemandTuning) check() error {
+	const maxHoldS = 3600
+	switch {
+	case t == nil:
+		return nil
+	case t.TurnRatio != 0 && (t.TurnRatio < 1.5 || t.TurnRatio > 100):
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
+			"uneven_demand.turn_ratio is %g; it must be 0, which is the default, or from 1.5 to 100", t.TurnRatio)
+	case t.HoldS < 0 || t.HoldS > maxHoldS:
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
+			"uneven_demand.hold_s is %g; it must be from 0 to %d, where 0 is the default", t.HoldS, maxHoldS)
+	}
 	return nil
 }
 
+func (t *UnevenDemandTuning) fleet() pwfleet.UnevenDemand {
+	if t == nil {
+		return pwfleet.UnevenDemand{}
+	}
+	return pwfleet.UnevenDemand{
+		Enabled:   true,
+		TurnRatio: t.TurnRatio,
+		TurnHold:  time.Duration(t.HoldS * float64(time.Second)),
+	}
+}
+
 func (t Tuning) fleet() pwfleet.Config {
 	return pwfleet.Config{
 		ShortPrefillMS:       t.ShortPrefillMS,
@@ -133,6 +171,7 @@
 			MinProcesses: t.CellProcesses,
 			MinServers:   t.CellServers,
 		},
+		UnevenDemand: t.UnevenDemand.fleet(),
 	}
 }
 
--- a/internal/core/pwcost/cost.go
+++ b/internal/core/pwcost/cost.go
@@ -52,3 +52,12 @@
 	stepMS := m.engine.StepMS + float64(requests)*m.engine.StepMSPerRequest + float64(contextTokens)/1000*m.engine.StepMSPerKContext
 	return float64(max(1, m.engine.StepsPerIteration))*stepMS + prefillMS
 }
+
+// IterationPrefillMS returns the prefill time that fits into one iteration of an engine that
+// decodes, as each step prefills one chunk at most. It is 0 if the parameters don't tell.
+func (m Model) IterationPrefillMS() float64 {
+	if m.engine.PrefillTokensPerMS <= 0 {
+		return 0
+	}
+	return float64(m.engine.StepsPerIteration) * float64(m.engine.PrefillChunkTokens) / m.engine.PrefillTokensPerMS
+}
--- a/internal/core/pwfleet/fleet.go
+++ b/internal/core/pwfleet/fleet.go
@@ -122,6 +122,8 @@
 	FullCooldown       time.Duration
 	// Cells bounds the size of the cells that the fleet is divided into.
 	Cells pwcell.Config
+	// UnevenDemand configures the placement of long prompts while the mix turns.
+	UnevenDemand UnevenDemand
 }
 
 func (cfg Config) withDefaults() Config {
@@ -150,6 +152,8 @@
 	pwdefault.SetUnlessPositive(&cfg.MaxSuspectDuration, DefaultMaxSuspectDuration)
 	pwdefault.SetUnlessPositive(&cfg.HelpCooldown, DefaultHelpCooldown)
 	pwdefault.SetUnlessPositive(&cfg.FullCooldown, DefaultFullCooldown)
+	pwdefault.SetUnlessPositive(&cfg.UnevenDemand.TurnRatio, DefaultTurnRatio)
+	pwdefault.SetUnlessPositive(&cfg.UnevenDemand.TurnHold, DefaultTurnHold)
 	return cfg
 }
 
@@ -287,6 +291,12 @@
 	arrivals arrivalRate
 	// freedMS is the prefill time that has ended on engines so far.
 	freedMS float64
+	// progress holds the parts of long prompts that are in progress, as of progressAt.
+	progress   []partProgress
+	progressAt time.Time
+	// mix holds the mix of prompts, last compared at mixAt.
+	mix   mix
+	mixAt time.Time
 	// coldFactor and coldSlack bound the requests to a cold server; see SetColdBounds.
 	coldFactor float64
 	coldSlack  float64
@@ -468,6 +478,7 @@
 			if _, ok := f.models[s.info.Service]; ok {
 				f.arrivals.add(now, l.Requests-p.loads[l.Server].Requests)
 				f.freedMS += max(0, p.loads[l.Server].PrefillMS-l.PrefillMS)
+				f.recordMix(now, p.loads[l.Server], l.Load)
 			}
 		}
 		if l.isZero() {
--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -215,6 +215,8 @@
 // cause is CausePrefillBusy, CauseMemoryFull or CauseConcurrencyFull if the request
 // should wait for busy servers, and CauseNoCandidate if no server may get work.
 func (f *Fleet) Plan(now time.Time, r Request) (Plan, error) {
+	f.UpdateProgress(now)
+	f.updateMix(now)
 	cands, err := f.candidates(now, r)
 	if err != nil {
 		return Plan{}, err
@@ -352,6 +354,8 @@
 	// headroomMS is the prefill time that the engine can accept before the gaps of
 	// its streams become too long.
 	headroomMS float64
+	// busy is set for an engine that gets no part before it has ended another.
+	busy bool
 }
 
 // planLong spreads the prefill of a long prompt over engines with headroom. Most of
@@ -476,12 +480,17 @@
 			order = uint64(f.randIntN(math.MaxInt32))
 		}
 		tier, allowance := f.prefillAllowance(m, l)
+		busy := f.hasPartInProgress(now, l)
+		if busy {
+			allowance = 0
+		}
 		available = append(available, candidate{
 			server:     s,
 			load:       l,
 			order:      order,
 			tier:       tier,
 			headroomMS: allowance - l.PrefillMS - f.cfg.FailurePenaltyMS*s.failureScore,
+			busy:       busy,
 		})
 	}
 	slices.SortFunc(available, func(a, b candidate) int {
@@ -609,7 +618,7 @@
 	if c.headroomMS >= partMS {
 		return true
 	}
-	if c.tier != tierIdle {
+	if c.tier != tierIdle || c.busy {
 		return false
 	}
 	return c.load.PrefillMS+partMS <= f.cfg.MaxHeavyPrefillMS || mayQueue && c.load.PrefillMS <= f.cfg.MaxPrefillMS
@@ -720,7 +729,7 @@
 		f: f,
 	}
 	// Rounding makes the sums exact, so that no load remains after all assignments end.
-	partMS := math.Round(p.PartPrefillMS*loadStepsPerMS) / loadStepsPerMS
+	partMS := roundPrefill(p.PartPrefillMS)
 	l := Load{
 		PrefillMS:    partMS,
 		Requests:     1,
@@ -733,9 +742,17 @@
 	case p.maxGap <= f.cfg.MediumGap:
 		l.MediumStreams = 1
 	}
-	a.add(p.Server.ID, l)
-	if _, ok := f.models[p.Server.Service]; ok {
+	m, hasModel := f.models[p.Server.Service]
+	add := func(id string, l Load) {
+		ahead := f.loadOf(id)
+		if a.add(id, l) && hasModel && len(p.Helpers) > 0 && f.IsDemandUneven(now) {
+			f.trackPart(now, a, m, ahead)
+		}
+	}
+	add(p.Server.ID, l)
+	if hasModel {
 		f.arrivals.add(now, 1)
+		f.recordMix(now, Load{}, l)
 	}
 	for i, h := range p.Helpers {
 		helperLoad := Load{
@@ -744,7 +761,7 @@
 		if i+1 < len(p.Reservations) {
 			helperLoad.MemoryTokens = p.Reservations[i+1].Tokens
 		}
-		a.add(h.ID, helperLoad)
+		add(h.ID, helperLoad)
 	}
 	if s := f.servers[p.Server.ID]; s != nil {
 		s.recordSend(now)
@@ -756,17 +773,27 @@
 	return a
 }
 
-// add adds a load to a server, unless the server was removed after planning.
-func (a *Assignment) add(id string, l Load) {
+// loadOf returns the load of a server, or none if it was removed.
+func (f *Fleet) loadOf(id string) Load {
+	if s := f.servers[id]; s != nil {
+		return s.load()
+	}
+	return Load{}
+}
+
+// add adds a load to a server, unless the server was removed after planning. It reports
+// whether it has.
+func (a *Assignment) add(id string, l Load) bool {
 	s := a.f.servers[id]
 	if s == nil {
-		return
+		return false
 	}
 	s.ownLoad.addScaled(l, 1)
 	a.loads = append(a.loads, assignedLoad{
 		server: s,
 		load:   l,
 	})
+	return true
 }
 
 // EndPrefill removes the prefill from the load, once the prompt has been prefilled. It
--- a/internal/core/pwfleet/simulation_test.go
+++ b/internal/core/pwfleet/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,13 +76,19 @@
 
 // simulation is a discrete-event simulation with a clock in milliseconds.
 type simulation struct {
-	m         pwcost.Model
-	engines   []*simEngine
-	nowMS     float64
-	queue     simQueue
-	pending   []*simRequest
+	m       pwcost.Model
+	engines []*simEngine
+	nowMS   float64
+	queue   simQueue
+	pending []*simRequest
+	// order, if set, is the order in which waiting requests are placed; it is that of their
+	// arrival otherwise.
+	order     func(a, b *simRequest) int
 	placement placement
-	completed []*simRequest
+	// newestFirst makes engines prefill the parts of a divided prompt ahead of all other
+	// reads, also of the parts of earlier prompts, and begin them between two steps.
+	newestFirst bool
+	completed   []*simRequest
 }
 
 // placement selects the engines for a request, the decoding one first. A nil result
@@ -132,7 +139,11 @@
 			r:  r,
 			ms: s.m.PartPrefillMS(r.tokens, len(engines)),
 		}
-		s.engines[e].parts = append(s.engines[e].parts, part)
+		at := len(s.engines[e].parts)
+		if s.newestFirst && len(engines) > 1 {
+			at = 0
+		}
+		s.engines[e].parts = slices.Insert(s.engines[e].parts, at, part)
 		s.startIteration(s.engines[e])
 	}
 	r.firstEngine = engines[0]
@@ -162,14 +173,21 @@
 		}
 		iterationMS = s.m.IterationMS(len(e.decoding), contextTokens, iterationMS)
 	} else {
-		prefilled = append(prefilled, e.parts[0])
 		iterationMS = e.parts[0].ms
-		e.parts = e.parts[1:]
+		if s.newestFirst {
+			iterationMS = min(iterationMS, float64(s.m.Engine().PrefillChunkTokens)/s.m.Engine().PrefillTokensPerMS)
+		}
+		if e.parts[0].ms -= iterationMS; e.parts[0].ms <= 0 {
+			prefilled = append(prefilled, e.parts[0])
+			e.parts = e.parts[1:]
+		}
 	}
 	s.schedule(s.nowMS+iterationMS, func() {
 		e.running = false
-		s.finishIteration(e, prefilled)
-		s.placePending()
+		if len(prefilled) > 0 || len(e.decoding) > 0 {
+			s.finishIteration(e, prefilled)
+			s.placePending()
+		}
 		s.startIteration(e)
 	})
 }
@@ -210,6 +228,9 @@
 
 // placePending tries to place the waiting requests, in the order of the queue.
 func (s *simulation) placePending() {
+	if s.order != nil {
+		slices.SortStableFunc(s.pending, s.order)
+	}
 	kept := s.pending[:0]
 	for _, r := range s.pending {
 		if !s.tryPlace(r) {
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -91,8 +91,10 @@
 	// freedMS is the fleet's FreedPrefillMS when turns last recorded that engines became
 	// free.
 	freedMS float64
-	// loggedCell is the cell that was last logged.
-	loggedCell pwcell.Cell
+	// loggedCell is the cell that was last logged, loggedUneven whether demand was last
+	// logged as uneven.
+	loggedCell   pwcell.Cell
+	loggedUneven bool
 }
 
 func newDispatcher(f *pwfleet.Fleet, d pwdeployment.Deployment, p Policy, obs *pwobserve.Observer) *dispatcher {
@@ -161,7 +163,23 @@
 	d.mu.Lock()
 	silent := d.fleet.ExpirePeers(now)
 	d.fleet.ForgetDepartures(now)
+	uneven := d.fleet.IsDemandUneven(now)
+	changed := uneven != d.loggedUneven
+	d.loggedUneven = uneven
+	recent, before := d.fleet.Mix(now)
 	d.mu.Unlock()
+	if changed {
+		d.obs.LogEvent("uneven_demand", log.Fields{
+			"active":              uneven,
+			"short_per_s":         recent.ShortPerSecond,
+			"long_per_s":          recent.LongPerSecond,
+			"short_per_s_earlier": before.ShortPerSecond,
+			"long_per_s_earlier":  before.LongPerSecond,
+		})
+		if uneven {
+			d.obs.Count("mix_turns", 1)
+		}
+	}
 	for _, name := range silent {
 		d.obs.LogEvent("peer_silent", log.Fields{
 			"peer": name,
@@ -364,6 +382,7 @@
 // schedule places the queued requests that servers have capacity for: all short ones, and
 // one long prompt when it is the turn of this process.
 func (d *dispatcher) schedule(now time.Time) {
+	d.fleet.UpdateProgress(now)
 	if freed := d.fleet.FreedPrefillMS(); freed-d.freedMS >= minFreedMS {
 		d.freedMS = freed
 		d.turns.RecordFreed(now)
@@ -427,6 +446,9 @@
 func (d *dispatcher) notifyIfAssigned(placed placement) {
 	if placed.assignment != nil {
 		d.onLoadChange()
+		if len(placed.plan.Helpers) > 0 {
+			d.wakeRun()
+		}
 	}
 }
 
@@ -469,7 +491,8 @@
 	}
 }
 
-// run schedules the queue at intervals while it holds requests, until ctx is done.
+// run schedules the queue at intervals while it holds requests or parts of long prompts are in
+// progress, until ctx is done.
 func (d *dispatcher) run(ctx context.Context) {
 	for {
 		select {
@@ -487,10 +510,12 @@
 	}
 }
 
-// scheduleOnce schedules the queue and reports whether requests remain in it.
+// scheduleOnce schedules the queue and reports whether requests remain in it, or parts of long
+// prompts whose progress makes room.
 func (d *dispatcher) scheduleOnce() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.schedule(time.Now())
-	return len(d.waiting) > 0
+	now := time.Now()
+	d.schedule(now)
+	return len(d.waiting) > 0 || d.fleet.UpdateProgress(now)
 }
--- a/internal/node/pwgateway/peers.go
+++ b/internal/node/pwgateway/peers.go
@@ -72,6 +72,7 @@
 func (d *dispatcher) ownLoads() []pwfleet.ServerLoad {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.fleet.UpdateProgress(time.Now())
 	return d.fleet.OwnLoads()
 }
 
