--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -743,9 +743,10 @@
 		l.MediumStreams = 1
 	}
 	m, hasModel := f.models[p.Server.Service]
+	tracked := hasModel && len(p.Helpers) > 0 && f.IsDemandUneven(now)
 	add := func(id string, l Load) {
 		ahead := f.loadOf(id)
-		if a.add(id, l) && hasModel && len(p.Helpers) > 0 && f.IsDemandUneven(now) {
+		if a.add(id, l) && tracked {
 			f.trackPart(now, a, m, ahead)
 		}
 	}
--- a/internal/core/pwfleet/progress.go
+++ b/internal/core/pwfleet/progress.go
@@ -45,9 +45,13 @@
 }
 
 // trackPart records the expected progress of the last added load of an assignment. ahead is
-// the load of the engine before it.
+// the load of the engine before it. The engine model doesn't hold for a slow engine, whose
+// part counts until the first token of the prompt.
 func (f *Fleet) trackPart(now time.Time, a *Assignment, m pwcost.Model, ahead Load) {
 	index := len(a.loads) - 1
+	if a.loads[index].server.isSlow(now) {
+		return
+	}
 	prefillMS := a.loads[index].load.PrefillMS
 	startsAt := now.Add(partLead + expectedDuration(m, ahead, ahead.PrefillMS))
 	f.progress = append(f.progress, partProgress{
