Schedule the simulated queue at intervals while the mix turns

Cause: the simulation of the turning mix tried all waiting prompts at the end of each iteration and took most of the package's time.

Change: with an order of the queue set, prompts are placed on arrival and every 20 ms, as in the gateway.

--- a/internal/core/pwfleet/simulation_test.go
+++ b/internal/core/pwfleet/simulation_test.go
@@ -81,8 +81,8 @@
 	nowMS   float64
 	queue   simQueue
 	pending []*simRequest
-	// order, if set, is the order in which waiting requests are placed; it is that of their
-	// arrival otherwise.
+	// order, if set, is the order in which waiting requests are placed, at intervals. Otherwise
+	// it is that of their arrival, and they are placed when an iteration ends.
 	order     func(a, b *simRequest) int
 	placement placement
 	// newestFirst makes engines prefill the parts of a divided prompt ahead of all other
@@ -186,7 +186,9 @@
 		e.running = false
 		if len(prefilled) > 0 || len(e.decoding) > 0 {
 			s.finishIteration(e, prefilled)
-			s.placePending()
+			if s.order == nil {
+				s.placePending()
+			}
 		}
 		s.startIteration(e)
 	})
--- a/internal/core/pwfleet/turning_mix_test.go
+++ b/internal/core/pwfleet/turning_mix_test.go
@@ -102,16 +102,17 @@
 		byKind = append(byKind, requests)
 		for _, r := range requests {
 			s.schedule(r.arrivedMS, func() {
-				s.pending = append(s.pending, r)
-				s.placePending()
+				if !s.tryPlace(r) {
+					s.pending = append(s.pending, r)
+				}
 			})
 			s.schedule(r.arrivedMS+1.4*float64(r.kind.firstTokenTarget.Milliseconds()), func() {
 				s.pending = slices.DeleteFunc(s.pending, func(other *simRequest) bool { return other == r })
 			})
 		}
 	}
-	// The queue is also scheduled at intervals.
-	for ms := 0.0; ms < (turningSeconds+10)*1000; ms += 50 {
+	const scheduleMS = 20.0
+	for ms := 0.0; ms < (turningSeconds+10)*1000; ms += scheduleMS {
 		s.schedule(ms, s.placePending)
 	}
 	s.run()
