--- a/internal/cli/pwgatewaycommand/tuning.go
+++ b/internal/cli/pwgatewaycommand/tuning.go
@@ -59,6 +59,9 @@
 	SlowReaders SlowReadersTuning `json:"slow_readers"`
 	// Overload enables admission under overload; without it, nothing is refused for that.
 	Overload *OverloadTuning `json:"overload"`
+	// UnevenDemand configures the placement while the mix of short and long prompts turns.
+	// Without it the mix isn't watched.
+	UnevenDemand *UnevenDemandTuning `json:"uneven_demand"`
 }
 
 // SlowReadersTuning holds the settings for callers and servers that read or send slowly.
@@ -94,6 +97,14 @@
 	MaxRetryAfterMS float64 `json:"max_retry_after_ms"`
 }
 
+// UnevenDemandTuning holds the settings for demand whose mix turns.
+type UnevenDemandTuning struct {
+	// TurnRatio is the factor by which the number of long prompts for each short one must
+	// change within seconds, and HoldS how many seconds the demand then counts as uneven.
+	TurnRatio float64 `json:"turn_ratio"`
+	HoldS     float64 `json:"hold_s"`
+}
+
 // LoadTuning reads the tuning file at path. An empty path gives the defaults.
 func LoadTuning(path string) (Tuning, error) {
 	if path == "" {
@@ -176,6 +187,22 @@
 		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
 			"overload.exit_share is %g; it must be less than overload.enter_share, which is %g", c.ExitPressure, c.EnterPressure)
 	}
+	return t.UnevenDemand.check()
+}
+
+// check returns an error for the first field that is out of range.
+func (t *UnevenDemandTuning) check() error {
+	const maxHoldS = 3600
+	switch {
+	case t == nil:
+		return nil
+	case t.TurnRatio != 0 && (t.TurnRatio < 1.5 || t.TurnRatio > 100):
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
+			"uneven_demand.turn_ratio is %g; it must be 0, which is the default, or from 1.5 to 100", t.TurnRatio)
+	case t.HoldS < 0 || t.HoldS > maxHoldS:
+		return pwverdict.New(pwverdict.NotRun, pwverdict.CauseBadRequest,
+			"uneven_demand.hold_s is %g; it must be from 0 to %d, where 0 is the default", t.HoldS, maxHoldS)
+	}
 	return nil
 }
 
@@ -192,6 +219,17 @@
 	}.WithDefaults()
 }
 
+func (t *UnevenDemandTuning) fleet() pwfleet.UnevenDemand {
+	if t == nil {
+		return pwfleet.UnevenDemand{}
+	}
+	return pwfleet.UnevenDemand{
+		Enabled:   true,
+		TurnRatio: t.TurnRatio,
+		TurnHold:  time.Duration(t.HoldS * float64(time.Second)),
+	}
+}
+
 func (t Tuning) fleet() pwfleet.Config {
 	return pwfleet.Config{
 		ShortPrefillMS:       t.ShortPrefillMS,
@@ -208,6 +246,7 @@
 			MinProcesses: t.CellProcesses,
 			MinServers:   t.CellServers,
 		},
+		UnevenDemand: t.UnevenDemand.fleet(),
 	}
 }
 
--- a/internal/cli/pwgatewaycommand/tuning_test.go
+++ b/internal/cli/pwgatewaycommand/tuning_test.go
@@ -23,6 +23,13 @@
 	if got, err := ParseTuning([]byte(`{"overload":{"fill_share":0.9}}`)); err != nil || got.policy().Overload.FillShare != 0.9 || got.policy().Overload.SlotShare <= 0 {
 		t.Errorf("%+v, %v", got.Overload, err)
 	}
+	if got.fleet().UnevenDemand.Enabled {
+		t.Error("the mix of prompts is watched without its settings")
+	}
+	got, err = ParseTuning([]byte(`{"uneven_demand":{"hold_s":5}}`))
+	if u := got.fleet().UnevenDemand; err != nil || !u.Enabled || u.TurnHold != 5*time.Second {
+		t.Errorf("%+v, %v", u, err)
+	}
 	for text, want := range map[string]string{
 		`{"part_ms":-1}`:                      "part_ms is -1; it must be from 0 to 60000",
 		`{"short_fill":2}`:                    "short_fill is 2; it must be from 0 to 1",
@@ -35,6 +42,8 @@
 		`{"max_waiting":2e7}`:                 "max_waiting",
 		`{"slow_readers":{"unread_ms":-1}}`:   "slow_readers.unread_ms is -1",
 		`{"slow_readers":{"caller_share":2}}`: "slow_readers.caller_share is 2; it must be from 0 to 1",
+		`{"uneven_demand":{"turn_ratio":1}}`:  "uneven_demand.turn_ratio is 1; it must be 0, which is the default, or from 1.5 to 100",
+		`{"uneven_demand":{"hold_s":-1}}`:     "uneven_demand.hold_s is -1; it must be from 0 to 3600",
 		strings.Repeat(" ", maxTuningBytes+1): "are allowed",
 	} {
 		if _, err := ParseTuning([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
