Give usage messages a sequence of their own

A usage message that overtook a load message on the way made it out of date, and the loads that had changed were lost until the next message with all of them. The test fails without the change.

--- a/internal/node/pwpeering/peering.go
+++ b/internal/node/pwpeering/peering.go
@@ -104,6 +104,9 @@
 	// needsFull is set until the peer was sent a message with all loads after it was
 	// first heard.
 	needsFull bool
+	// usageIncarnation and usageSequence are those of the last usage message.
+	usageIncarnation uint64
+	usageSequence    uint64
 }
 
 func (p *peer) isActive() bool { return p.sequence > 0 && time.Since(p.lastSeen) < ActiveTimeout }
@@ -124,8 +127,11 @@
 	sentLoads   map[uint64]pwfleet.Load
 	fullSentAt  time.Time
 	sentWaiting bool
-	// usageSentAt is when the last usage message was sent. It belongs to loopSend too.
-	usageSentAt time.Time
+	// usageSentAt and usageSequence are those of the last usage message. They belong to loopSend
+	// too. Usage messages have a sequence of their own, so that one that overtakes a load
+	// message does not make it out of date.
+	usageSentAt   time.Time
+	usageSequence uint64
 
 	mu    sync.Mutex
 	peers map[netip.AddrPort]*peer
--- a/internal/node/pwpeering/usage.go
+++ b/internal/node/pwpeering/usage.go
@@ -41,11 +41,11 @@
 	x.usageSentAt = time.Now()
 	out := make([]datagram, 0, len(byService))
 	for service, list := range byService {
-		x.sequence++
+		x.usageSequence++
 		out = append(out, datagram{
 			raw: encodeUsage(envelope{
 				incarnation: x.incarnation,
-				sequence:    x.sequence,
+				sequence:    x.usageSequence,
 				cell:        cell,
 			}, service, firstN(list, pwoverload.MaxReported)),
 			recipients: recipients,
@@ -63,7 +63,7 @@
 	if x.cfg.Usage == nil {
 		return nil
 	}
-	name, ok := x.acceptNewer(from, e)
+	name, ok := x.acceptNewerUsage(from, e)
 	if !ok {
 		return nil
 	}
@@ -73,6 +73,22 @@
 	return nil
 }
 
+// acceptNewerUsage returns the name of a usage message's sender. It returns false if the sender
+// isn't heard or if the message isn't newer than the last one.
+func (x *Exchange) acceptNewerUsage(from netip.AddrPort, e envelope) (name string, ok bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.peers[from]
+	if p == nil || !p.isActive() || e.incarnation != p.incarnation {
+		return "", false
+	}
+	if e.incarnation == p.usageIncarnation && e.sequence <= p.usageSequence {
+		return "", false
+	}
+	p.usageIncarnation, p.usageSequence = e.incarnation, e.sequence
+	return p.name, true
+}
+
 func isUsage(raw []byte) bool {
 	return len(raw) >= 4 && binary.LittleEndian.Uint32(raw) == usageMagic
 }
--- a/internal/node/pwpeering/usage_test.go
+++ b/internal/node/pwpeering/usage_test.go
@@ -65,6 +65,19 @@
 			}
 		}
 	}
+	// A usage message that overtakes the loads must not make them out of date.
+	nodes[0].view.loads = []pwfleet.ServerLoad{load("e-2", 5)}
+	overtaken := nodes[0].nextDatagrams(true)
+	for _, d := range slices.Backward(overtaken) {
+		if err := nodes[1].handleMessage(d.raw, nodes[0].addr); err != nil {
+			t.Error(err)
+		}
+	}
+	if !slices.Contains(nodes[1].view.merged["front-1"].Loads, load("e-2", 5)) {
+		t.Errorf("the loads that were overtaken are lost: %v", nodes[1].view.merged["front-1"].Loads)
+	}
+	nodes[0].view.loads = []pwfleet.ServerLoad{load("e-1", 3)}
+	send(t, nodes[0], true, nodes[1:]...)
 	got := receiver.merged["front-1"]
 	if len(got) != pwoverload.MaxReported || got[7].Workspace != 8 || got[7].Requests[pwoverload.Short] != 7 {
 		t.Errorf("merged %v", got)
