--- a/internal/core/pwoverload/controller.go
+++ b/internal/core/pwoverload/controller.go
@@ -38,7 +38,7 @@
 	// DefaultSlotShare is the share of all slots that is divided among the workspaces, and
 	// DefaultFillShare the share up to which short requests are placed. Beyond it, processes
 	// that decide at the same time would often choose the same engine's last slot.
-	DefaultSlotShare = 0.86
+	DefaultSlotShare = 0.82
 	DefaultFillShare = 0.88
 	// DefaultPrefillShare is the share of the engines' time that is divided for prefill.
 	// Decoding needs the rest.
@@ -241,9 +241,9 @@
 	// queuedShare is the part of the time to the target from which long requests are refused
 	// for their share. Below it there is room for all of them.
 	queuedShare = 0.5
-	// heavyShare is the share below which requests are refused for it. The demand of a
-	// workspace swings around its mean, and who is refused is late when it comes back.
-	heavyShare = 0.6
+	// heavyLongShare is the share below which long requests are refused for it. Few of them
+	// make up the demand of a workspace, which is often twice its mean.
+	heavyLongShare = 0.5
 )
 
 // Offer decides about a request that has just arrived, and counts it as demand of its
@@ -256,15 +256,16 @@
 		return d.admit(ReasonNormal)
 	}
 	d.Share = c.usage.share(now, w, o, c.capacity(r), c.cfg.ReportExpiry)
-	if d.Share < heavyShare && !w.take(o.Class, d.Share) && (o.Class == Short || d.queues(o)) {
+	if !w.take(o.Class, d.Share) && (o.Class == Short || d.queuesBeyondShare(o)) {
 		return c.refuse(d, ReasonShare)
 	}
 	return c.decideByTime(d, o, r)
 }
 
-// queues reports whether a long request would wait for others.
-func (d Decision) queues(o Offer) bool {
-	return d.Predicted > time.Duration(queuedShare*float64(o.UntilTarget))
+// queuesBeyondShare reports whether a long request of a workspace far above its share would
+// wait for others.
+func (d Decision) queuesBeyondShare(o Offer) bool {
+	return d.Share < heavyLongShare && d.Predicted > time.Duration(queuedShare*float64(o.UntilTarget))
 }
 
 // Recheck decides about a request that waits.
