--- a/internal/core/pwoverload/controller.go
+++ b/internal/core/pwoverload/controller.go
@@ -237,14 +237,9 @@
 	return false
 }
 
-const (
-	// queuedShare is the part of the time to the target from which long requests are refused
-	// for their share. Below it there is room for all of them.
-	queuedShare = 0.5
-	// heavyLongShare is the share below which long requests are refused for it. Few of them
-	// make up the demand of a workspace, which is often twice its mean.
-	heavyLongShare = 0.5
-)
+// queuedShare is the part of the time to the target from which long requests are refused for
+// their share. Below it there is room for all of them.
+const queuedShare = 0.5
 
 // Offer decides about a request that has just arrived, and counts it as demand of its
 // workspace.
@@ -256,16 +251,15 @@
 		return d.admit(ReasonNormal)
 	}
 	d.Share = c.usage.share(now, w, o, c.capacity(r), c.cfg.ReportExpiry)
-	if !w.take(o.Class, d.Share) && (o.Class == Short || d.queuesBeyondShare(o)) {
+	if !w.take(o.Class, d.Share) && (o.Class == Short || d.queues(o)) {
 		return c.refuse(d, ReasonShare)
 	}
 	return c.decideByTime(d, o, r)
 }
 
-// queuesBeyondShare reports whether a long request of a workspace far above its share would
-// wait for others.
-func (d Decision) queuesBeyondShare(o Offer) bool {
-	return d.Share < heavyLongShare && d.Predicted > time.Duration(queuedShare*float64(o.UntilTarget))
+// queues reports whether a long request would wait for others.
+func (d Decision) queues(o Offer) bool {
+	return d.Predicted > time.Duration(queuedShare*float64(o.UntilTarget))
 }
 
 // Recheck decides about a request that waits.
@@ -286,8 +280,6 @@
 	switch {
 	case o.Class == Short && !c.hasRoom(r) && r.belowFloor():
 		return d.admit(ReasonFloor)
-	case o.Class == Long && o.UntilTarget > 0 && d.Predicted <= longSlack*o.UntilAbandon:
-		return d.admit(ReasonFits)
 	case d.Predicted > o.UntilAbandon:
 		return c.refuse(d, ReasonDeadline)
 	case d.Predicted <= o.UntilTarget:
@@ -300,10 +292,6 @@
 	}
 }
 
-// longSlack is the multiple of the time left up to which a long request that can still be in
-// time is admitted: it often finds room before those ahead of it, which need more.
-const longSlack = 2
-
 // hasRoom reports whether a short request finds a slot.
 func (c *Controller) hasRoom(r Room) bool {
 	return float64(r.Taken) < c.cfg.FillShare*float64(r.Slots)
--- a/internal/node/pwgateway/overload.go
+++ b/internal/node/pwgateway/overload.go
@@ -12,10 +12,6 @@
 	"github.com/pomeloweir/pomeloweir/internal/core/pwverdict"
 )
 
-// queuedAheadShare is the part of the prefill queued at other gateways that is taken to come
-// before a long prompt. They state the rank of their first prompt and the prefill of all.
-const queuedAheadShare = 0.4
-
 // queueAhead adds up what waits before a request of the same service and class.
 type queueAhead struct {
 	requests  map[queueKey]int
@@ -79,7 +75,7 @@
 			}
 		}
 		_, queued := d.turns.Ahead(now, p.rank(now))
-		room.AheadPrefillMS += queuedAheadShare * queued
+		room.AheadPrefillMS += queued
 	}
 	before := c.Overloaded()
 	decision := c.Offer(now, p.offer(now), room)
@@ -120,7 +116,7 @@
 	room.Ahead, room.AheadPrefillMS = ahead.requests[key], ahead.prefillMS[key]
 	if !p.short {
 		_, queued := d.turns.Ahead(now, p.rank(now))
-		room.AheadPrefillMS += queuedAheadShare * queued
+		room.AheadPrefillMS += queued
 	}
 	c := d.overload[p.req.Service]
 	decision := c.Recheck(now, p.offer(now), room)
