--- a/internal/core/pwoverload/controller.go
+++ b/internal/core/pwoverload/controller.go
@@ -251,12 +251,17 @@
 		return d.admit(ReasonNormal)
 	}
 	d.Share = c.usage.share(now, w, o, c.capacity(r), c.cfg.ReportExpiry)
-	if !w.take(o.Class, d.Share) && (o.Class == Short || d.Predicted > time.Duration(queuedShare*float64(o.UntilTarget))) {
+	if !w.take(o.Class, d.Share) && (o.Class == Short || d.queues(o)) {
 		return c.refuse(d, ReasonShare)
 	}
 	return c.decideByTime(d, o, r)
 }
 
+// queues reports whether a long request would wait for others.
+func (d Decision) queues(o Offer) bool {
+	return d.Predicted > time.Duration(queuedShare*float64(o.UntilTarget))
+}
+
 // Recheck decides about a request that waits.
 func (c *Controller) Recheck(now time.Time, o Offer, r Room) Decision {
 	c.Observe(now, r)
