Begin overload only when nearly all slots are taken

Cause: the regime began at half of the slots, on demand estimated from slots that are held longer the fuller the engines are, and placed short prompts only into 0.88 of the slots. Change: it begins at 0.95 of the slots, or at 0.9 with more demand than room; ends below 0.8; shares 0.95 and places short prompts into 0.97 of the slots.

--- a/internal/core/pwoverload/controller.go
+++ b/internal/core/pwoverload/controller.go
@@ -32,14 +32,14 @@
 	// DefaultEnterPressure and DefaultExitPressure are the pressures at which overload
 	// begins and ends, and DefaultExitDelay is how long the pressure must have been below
 	// the latter.
-	DefaultEnterPressure = 0.8
-	DefaultExitPressure  = 0.65
+	DefaultEnterPressure = 0.95
+	DefaultExitPressure  = 0.8
 	DefaultExitDelay     = time.Second
 	// DefaultSlotShare is the share of all slots that is divided among the workspaces, and
 	// DefaultFillShare the share up to which short requests are placed. Beyond it, processes
 	// that decide at the same time would often choose the same engine's last slot.
-	DefaultSlotShare = 0.82
-	DefaultFillShare = 0.88
+	DefaultSlotShare = 0.95
+	DefaultFillShare = 0.97
 	// DefaultPrefillShare is the share of the engines' time that is divided for prefill.
 	// Decoding needs the rest.
 	DefaultPrefillShare = 0.75
@@ -213,7 +213,7 @@
 
 // growingPressure is the pressure from which overload begins as soon as the demand exceeds
 // the capacity. The slots are taken only later by as long as a request holds one.
-const growingPressure = 0.5
+const growingPressure = 0.9
 
 // Observe updates the regime, and reports whether it has changed.
 func (c *Controller) Observe(now time.Time, r Room) (changed bool) {
