Don't take rows without a readable key for removed

Cause: a follower lists the table of operators after each outage and while versions follow one another. A row of that listing whose key could not be read was left out, so that a row that is known counted as removed: the evacuation of a data centre ended. Change: listings count such rows. As after a listing with a version that cannot be read, the next call is a watch, which states what is removed. The first listing, and one after a restore or lost history, is taken as before. Result: TestUnnamedRowOfListingIsNotRemoved failed before and passes.

--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -104,6 +104,8 @@
 	// Superseded counts the rows that were left out because a newer version of the same
 	// row is in Items.
 	Superseded int
+	// Unnamed counts the rows that were left out because not even their key can be read.
+	Unnamed int
 }
 
 // Source reads one table of the store.
@@ -391,7 +393,7 @@
 	f.recordContact()
 	present := make(map[string]bool, len(snap.Items))
 	items := snap.Items[:0:0]
-	unreadable := false
+	unreadable := snap.Unnamed > 0
 	for _, it := range snap.Items {
 		present[it.Key] = true
 		it.Restored = f.awaitsRestored
@@ -402,7 +404,7 @@
 	}
 	if f.hasListing && unreadable {
 		// The listing stands for a watch, which also returns the versions before one that
-		// cannot be read.
+		// cannot be read, and states what is removed.
 		f.crowded = false
 		return nil
 	}
--- a/internal/node/pwcontrol/newest_test.go
+++ b/internal/node/pwcontrol/newest_test.go
@@ -192,6 +192,67 @@
 	})
 }
 
+// runNewestOnly runs a follower that lists a table after an outage.
+func runNewestOnly(t *testing.T, s *fakeStore, source Source[string], test func(v *recorder, f *Follower[string])) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s.changed = make(chan struct{})
+		v := &recorder{
+			rows:      make(map[string]string),
+			appliedAt: make(map[string]time.Time),
+		}
+		f := NewFollower(source, Config{
+			NewestOnly: true,
+		}, pwobserve.Discard(), v.apply)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		test(v, f)
+		cancel()
+		<-done
+	})
+}
+
+// Guards against an evacuation that ends because the key of its row arrives garbled in the
+// listing after an outage.
+func TestUnnamedRowOfListingIsNotRemoved(t *testing.T) {
+	s := &garblingStore{
+		fakeStore: newFakeStore(),
+	}
+	runNewestOnly(t, s.fakeStore, s, func(v *recorder, _ *Follower[string]) {
+		s.set("evacuate/a", "1")
+		time.Sleep(time.Second)
+		s.update(func() { s.down, s.garbled = true, true })
+		s.set("evacuate/b", "2")
+		time.Sleep(time.Second)
+		s.update(func() { s.down = false })
+		time.Sleep(3 * time.Second)
+		expectRows(t, v, "evacuate/a=1 evacuate/b=2")
+		s.set("evacuate/a", "")
+		time.Sleep(time.Second)
+		expectRows(t, v, "evacuate/b=2")
+	})
+}
+
+// garblingStore is a store whose listings hold a row without a readable key.
+type garblingStore struct {
+	*fakeStore
+	garbled bool
+}
+
+func (s *garblingStore) List(ctx context.Context) (Snapshot[string], error) {
+	snap, err := s.fakeStore.List(ctx)
+	s.update(func() {
+		if s.garbled && len(snap.Items) > 0 {
+			snap.Items, snap.Unnamed = snap.Items[1:], 1
+		}
+	})
+	return snap, err
+}
+
 // hidingStore is a store whose watches also return one earlier version.
 type hidingStore struct {
 	*fakeStore
