Watch the table of operators while listings lag behind

Cause: after an outage the table is listed until a listing is no older than what is known. With listings that lag behind watches the follower stayed in the outage and read no new version. Change: the call after a stale listing is a watch, as before listings took the place of watches. Result: TestLaggingListingsAreReplacedByWatches failed before and passes.

--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -223,6 +223,8 @@
 	unconfirmed map[string]time.Time
 	// loggedStale is set while listings are rejected as stale.
 	loggedStale bool
+	// watchNext is set after a stale listing in place of a watch.
+	watchNext bool
 
 	inOutage bool
 	// crowded is set while versions follow one another within the batch delay.
@@ -309,9 +311,10 @@
 // poll lists the table if that is due, or else watches it for changes once. During
 // an outage the watch returns immediately, to probe whether the store responds.
 func (f *Follower[T]) poll(ctx context.Context) error {
-	if !f.hasListing || f.cfg.NewestOnly && (f.inOutage || f.crowded) {
+	if !f.hasListing || f.cfg.NewestOnly && (f.inOutage || f.crowded) && !f.watchNext {
 		return f.list(ctx)
 	}
+	f.watchNext = false
 	wait := time.Duration(f.wait.Load())
 	for _, until := range f.unconfirmed {
 		wait = max(0, min(wait, time.Until(until)))
@@ -387,6 +390,7 @@
 			f.obs.Info("stale listing rejected", "table", f.cfg.Name, "era", snap.Era.String(),
 				"version", strconv.FormatInt(snap.Version, 10), "known_version", strconv.FormatInt(f.version, 10))
 		}
+		f.watchNext = true
 		return errStaleListing
 	}
 	f.loggedStale = false
--- a/internal/node/pwcontrol/newest_test.go
+++ b/internal/node/pwcontrol/newest_test.go
@@ -253,6 +253,47 @@
 	return snap, err
 }
 
+// Guards against a process that takes the store for lost while only its listings lag behind
+// its watches.
+func TestLaggingListingsAreReplacedByWatches(t *testing.T) {
+	s := &laggingStore{
+		fakeStore: newFakeStore(),
+	}
+	runNewestOnly(t, s.fakeStore, s, func(v *recorder, f *Follower[string]) {
+		s.set("config", "1")
+		s.set("config", "2")
+		time.Sleep(time.Second)
+		s.update(func() { s.down, s.lagging = true, true })
+		s.set("config", "3")
+		time.Sleep(time.Second)
+		s.update(func() { s.down = false })
+		for i := range 4 {
+			s.set("config", fmt.Sprint(i+4))
+			time.Sleep(2 * time.Second)
+			expectRows(t, v, fmt.Sprintf("config=%d", i+4))
+			if age := time.Since(f.LastContact()); age > 3*time.Second {
+				t.Errorf("the last contact was %s ago", age)
+			}
+		}
+	})
+}
+
+// laggingStore is a store whose listings are stale while its watches are not.
+type laggingStore struct {
+	*fakeStore
+	lagging bool
+}
+
+func (s *laggingStore) List(ctx context.Context) (Snapshot[string], error) {
+	snap, err := s.fakeStore.List(ctx)
+	s.update(func() {
+		if s.lagging {
+			snap.Version, snap.Items = 1, nil
+		}
+	})
+	return snap, err
+}
+
 // hidingStore is a store whose watches also return one earlier version.
 type hidingStore struct {
 	*fakeStore
