Don't end streams whose callers read slowly but steadily

Cause: a blocked write to a caller goes on only when a third of the send buffer is free, which the kernel lets grow to megabytes. A caller that read 160 KB/s of a faster stream did not get that far within the time for unread streams. Change: the kernel takes at most 16 KB of a stream that the caller's receive window has no room for. What is on its way is not limited.

--- a/internal/node/pwgateway/caller.go
+++ b/internal/node/pwgateway/caller.go
@@ -9,6 +9,10 @@
 	"golang.org/x/sys/unix"
 )
 
+// maxUnsentBytes is how much of a stream the kernel takes beyond what the caller's receive
+// window has room for.
+const maxUnsentBytes = 16 << 10
+
 // callerConnKey is the context key of a caller's connection.
 type callerConnKey struct{}
 
@@ -61,3 +65,22 @@
 		_ = c.SetLinger(linger)
 	}
 }
+
+// limitUnsent makes each write wait for the caller to read. The kernel's own limit is a part of
+// a send buffer of megabytes: a caller that reads steadily, but more slowly than its stream
+// arrives, would not show for seconds that it reads.
+func limitUnsent(ctx context.Context) {
+	c, ok := ctx.Value(callerConnKey{}).(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		// The connection is closed.
+		return
+	}
+	// Where the option can't be set, the kernel's limit stays.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
+	})
+}
--- a/internal/node/pwgateway/slow_readers_test.go
+++ b/internal/node/pwgateway/slow_readers_test.go
@@ -410,3 +410,41 @@
 		t.Errorf("the servers held %d and %d uploads, want 2 each", a, b)
 	}
 }
+
+// Load pattern: a caller reads its stream steadily, but more slowly than the server sends it.
+// With the send buffer that the kernel chooses, the stream must not be taken for unread.
+func TestCallerThatReadsSlowly(t *testing.T) {
+	const (
+		// On loopback, a receive window of 64 KB opens again when it is empty.
+		readBytes    = 16 << 10
+		readInterval = 100 * time.Millisecond
+		patience     = 1500 * time.Millisecond
+	)
+	var running atomic.Int64
+	l := newLoopback(t, pwgateway.Policy{
+		SlowReaders: pwgateway.SlowReaders{
+			UnreadTimeout: patience,
+		},
+	}, map[string]http.HandlerFunc{
+		"model-1": largeEvents(&running, 1000),
+	})
+	srv := httptest.NewUnstartedServer(l.gateway)
+	srv.Config.ConnContext = pwgateway.WithCallerConn
+	srv.Config.ErrorLog = log.New(io.Discard, "", 0)
+	srv.Start()
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	l.address = srv.Listener.Addr().String()
+	c := l.open(t, "a1", "k1", "/note/1", "HTTP/1.1", 10*time.Second, 0)
+	buf := make([]byte, readBytes)
+	for startedAt := time.Now(); time.Since(startedAt) < 4*patience; time.Sleep(readInterval) {
+		if _, err := io.ReadFull(c, buf); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if cut := l.count("does not read the stream"); cut != 0 {
+		t.Error("the stream was ended although its caller reads on")
+	}
+}
--- a/internal/node/pwgateway/stream.go
+++ b/internal/node/pwgateway/stream.go
@@ -315,6 +315,7 @@
 func (s *send) writeHead(resp *http.Response) {
 	x := s.x
 	x.headWritten = true
+	limitUnsent(x.r.Context())
 	if !x.canChunk() {
 		resetOnClose(x.r.Context(), true)
 	}
