Don't keep the bodies of ended requests

Cause: the look at a server after a broken response keeps its exchange, and with it the body of the request, until a connection to the server opens or its time is up. The body counts as released by then, so that a machine could hold more than its bound when a server with many requests broke. Change: an exchange that ends lets go of its body.

--- a/internal/node/pwgateway/exchange.go
+++ b/internal/node/pwgateway/exchange.go
@@ -117,7 +117,7 @@
 			shutdown: g.shutdown,
 		},
 	}
-	defer x.conn.end()
+	defer x.end()
 	x.metadata, x.metadataErr = g.codec.ParseRequest(r.Header)
 	c := g.catalog.Load()
 	if c != nil {
@@ -152,6 +152,13 @@
 	x.run(ctx)
 }
 
+// end ends the exchange. What follows its failures up may keep it for longer, but not its
+// body, whose memory counts as released.
+func (x *exchange) end() {
+	x.conn.end()
+	x.body = nil
+}
+
 // requestPath returns the path of a request as the caller sent it.
 func requestPath(r *http.Request) string {
 	path, _, _ := strings.Cut(r.RequestURI, "?")
--- a/internal/node/pwgateway/slow_readers_test.go
+++ b/internal/node/pwgateway/slow_readers_test.go
@@ -484,3 +484,40 @@
 		t.Error("the stream was ended although its caller reads on")
 	}
 }
+
+// Load pattern: a server breaks many connections at once. The bodies of requests that have
+// ended count as released, so that nothing may keep them, also not what follows the failure up.
+func TestBodiesOfEndedRequestsAreFreed(t *testing.T) {
+	const callers = 24
+	upload := strings.Repeat("x", 1<<20)
+	l := newLoopback(t, pwgateway.Policy{}, map[string]http.HandlerFunc{
+		"desk-1": func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			panic(http.ErrAbortHandler)
+		},
+	})
+	inUse := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	before := inUse()
+	statuses := make(chan int)
+	for i := range callers {
+		c := l.open(t, fmt.Sprintf("a%d", i), "k1", "/book/1", "HTTP/1.1", 10*time.Second, len(upload))
+		go func() {
+			status, _, _ := finish(c, upload)
+			closeConn(c)
+			statuses <- status
+		}()
+	}
+	for range callers {
+		if status := <-statuses; status != http.StatusBadGateway {
+			t.Errorf("status %d, want 502", status)
+		}
+	}
+	if after := inUse(); after > before+callers*uint64(len(upload))/3 {
+		t.Errorf("%d bytes are still in use after %d requests with %d bytes each", after-min(before, after), callers, len(upload))
+	}
+}
