--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -104,6 +104,8 @@
 	// Superseded counts the rows that were left out because a newer version of the same
 	// row is in Items.
 	Superseded int
+	// Unnamed counts the rows that were left out because not even their key can be read.
+	Unnamed int
 }
 
 // Source reads one table of the store.
@@ -221,6 +223,8 @@
 	unconfirmed map[string]time.Time
 	// loggedStale is set while listings are rejected as stale.
 	loggedStale bool
+	// watchNext is set after a stale listing in place of a watch.
+	watchNext bool
 
 	inOutage bool
 	// crowded is set while versions follow one another within the batch delay.
@@ -307,9 +311,10 @@
 // poll lists the table if that is due, or else watches it for changes once. During
 // an outage the watch returns immediately, to probe whether the store responds.
 func (f *Follower[T]) poll(ctx context.Context) error {
-	if !f.hasListing || f.cfg.NewestOnly && (f.inOutage || f.crowded) {
+	if !f.hasListing || f.cfg.NewestOnly && (f.inOutage || f.crowded) && !f.watchNext {
 		return f.list(ctx)
 	}
+	f.watchNext = false
 	wait := time.Duration(f.wait.Load())
 	for _, until := range f.unconfirmed {
 		wait = max(0, min(wait, time.Until(until)))
@@ -385,13 +390,14 @@
 			f.obs.Info("stale listing rejected", "table", f.cfg.Name, "era", snap.Era.String(),
 				"version", strconv.FormatInt(snap.Version, 10), "known_version", strconv.FormatInt(f.version, 10))
 		}
+		f.watchNext = true
 		return errStaleListing
 	}
 	f.loggedStale = false
 	f.recordContact()
 	present := make(map[string]bool, len(snap.Items))
 	items := snap.Items[:0:0]
-	unreadable := false
+	unreadable := snap.Unnamed > 0
 	for _, it := range snap.Items {
 		present[it.Key] = true
 		it.Restored = f.awaitsRestored
@@ -402,7 +408,7 @@
 	}
 	if f.hasListing && unreadable {
 		// The listing stands for a watch, which also returns the versions before one that
-		// cannot be read.
+		// cannot be read, and states what is removed.
 		f.crowded = false
 		return nil
 	}
--- a/internal/node/pwcontrol/newest_test.go
+++ b/internal/node/pwcontrol/newest_test.go
@@ -192,6 +192,108 @@
 	})
 }
 
+// runNewestOnly runs a follower that lists a table after an outage.
+func runNewestOnly(t *testing.T, s *fakeStore, source Source[string], test func(v *recorder, f *Follower[string])) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s.changed = make(chan struct{})
+		v := &recorder{
+			rows:      make(map[string]string),
+			appliedAt: make(map[string]time.Time),
+		}
+		f := NewFollower(source, Config{
+			NewestOnly: true,
+		}, pwobserve.Discard(), v.apply)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.Run(ctx)
+		}()
+		test(v, f)
+		cancel()
+		<-done
+	})
+}
+
+// Guards against an evacuation that ends because the key of its row arrives garbled in the
+// listing after an outage.
+func TestUnnamedRowOfListingIsNotRemoved(t *testing.T) {
+	s := &garblingStore{
+		fakeStore: newFakeStore(),
+	}
+	runNewestOnly(t, s.fakeStore, s, func(v *recorder, _ *Follower[string]) {
+		s.set("evacuate/a", "1")
+		time.Sleep(time.Second)
+		s.update(func() { s.down, s.garbled = true, true })
+		s.set("evacuate/b", "2")
+		time.Sleep(time.Second)
+		s.update(func() { s.down = false })
+		time.Sleep(3 * time.Second)
+		expectRows(t, v, "evacuate/a=1 evacuate/b=2")
+		s.set("evacuate/a", "")
+		time.Sleep(time.Second)
+		expectRows(t, v, "evacuate/b=2")
+	})
+}
+
+// garblingStore is a store whose listings hold a row without a readable key.
+type garblingStore struct {
+	*fakeStore
+	garbled bool
+}
+
+func (s *garblingStore) List(ctx context.Context) (Snapshot[string], error) {
+	snap, err := s.fakeStore.List(ctx)
+	s.update(func() {
+		if s.garbled && len(snap.Items) > 0 {
+			snap.Items, snap.Unnamed = snap.Items[1:], 1
+		}
+	})
+	return snap, err
+}
+
+// Guards against a process that takes the store for lost while only its listings lag behind
+// its watches.
+func TestLaggingListingsAreReplacedByWatches(t *testing.T) {
+	s := &laggingStore{
+		fakeStore: newFakeStore(),
+	}
+	runNewestOnly(t, s.fakeStore, s, func(v *recorder, f *Follower[string]) {
+		s.set("config", "1")
+		s.set("config", "2")
+		time.Sleep(time.Second)
+		s.update(func() { s.down, s.lagging = true, true })
+		s.set("config", "3")
+		time.Sleep(time.Second)
+		s.update(func() { s.down = false })
+		for i := range 4 {
+			s.set("config", fmt.Sprint(i+4))
+			time.Sleep(2 * time.Second)
+			expectRows(t, v, fmt.Sprintf("config=%d", i+4))
+			if age := time.Since(f.LastContact()); age > 3*time.Second {
+				t.Errorf("the last contact was %s ago", age)
+			}
+		}
+	})
+}
+
+// laggingStore is a store whose listings are stale while its watches are not.
+type laggingStore struct {
+	*fakeStore
+	lagging bool
+}
+
+func (s *laggingStore) List(ctx context.Context) (Snapshot[string], error) {
+	snap, err := s.fakeStore.List(ctx)
+	s.update(func() {
+		if s.lagging {
+			snap.Version, snap.Items = 1, nil
+		}
+	})
+	return snap, err
+}
+
 // hidingStore is a store whose watches also return one earlier version.
 type hidingStore struct {
 	*fakeStore
