Run every other process of the soak with the parts that are off by default

Cause: the soak ran without a tuning file, so that processes with and without the new parts never met. Change: entries with an even index get overload and uneven_demand. Its configuration has no workspaces, so that nothing is shed in it.

--- a/internal/fake/pwsoak/soak.go
+++ b/internal/fake/pwsoak/soak.go
@@ -377,6 +377,9 @@
 	return true
 }
 
+// partsTuning turns on the parts that are off by default.
+const partsTuning = `{"overload": {}, "uneven_demand": {}}`
+
 // startEntry starts the process of an entry. The first start also chooses the ports and
 // writes the settings file, which a restart reuses.
 func (s *soak) startEntry(ctx context.Context, e *entry) error {
@@ -397,8 +400,17 @@
 	if err != nil {
 		return err
 	}
+	args := []string{"gateway", "--settings", filepath.Join(e.dir, "settings.conf")}
+	if e.index%2 == 0 {
+		// Processes with and without these parts must get along with each other.
+		tuning := filepath.Join(e.dir, "tuning.json")
+		if err := os.WriteFile(tuning, []byte(partsTuning), 0o600); err != nil {
+			return err
+		}
+		args = append(args, "--tuning", tuning)
+	}
 	// The process must outlive ctx, whose end only stops the faults and callers.
-	cmd := exec.CommandContext(context.WithoutCancel(ctx), s.opts.Binary, "gateway", "--settings", filepath.Join(e.dir, "settings.conf"))
+	cmd := exec.CommandContext(context.WithoutCancel(ctx), s.opts.Binary, args...)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
