Keep the queue within the floor of slots in one pass

Cause: a pass over the queue read the room of a service once. A gateway that used one slot less than its quarter share, while all slots were taken, then placed all short prompts that waited on engines without a free slot. Change: each placement of the pass counts as one of the process's own.

--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -442,6 +442,9 @@
 			continue
 		}
 		placed := d.tryPlace(now, p)
+		if placed.err == nil {
+			ahead.recordPlaced(p.req.Service)
+		}
 		if !p.short && placed.err == nil {
 			ownTurn = false
 		}
--- a/internal/node/pwgateway/overload.go
+++ b/internal/node/pwgateway/overload.go
@@ -16,10 +16,19 @@
 type queueAhead struct {
 	requests  map[queueKey]int
 	prefillMS map[queueKey]float64
-	// rooms holds the room of each service, which is the same for the whole pass.
+	// rooms holds the room of each service when the pass began. What was placed since counts
+	// as ahead, and in Own.
 	rooms map[string]pwoverload.Room
 }
 
+// recordPlaced counts a request that was placed as one of this process's own.
+func (a *queueAhead) recordPlaced(service string) {
+	if r, ok := a.rooms[service]; ok {
+		r.Own++
+		a.rooms[service] = r
+	}
+}
+
 type queueKey struct {
 	service string
 	short   bool
--- a/internal/node/pwgateway/overload_test.go
+++ b/internal/node/pwgateway/overload_test.go
@@ -99,3 +99,87 @@
 		}
 	})
 }
+
+// A peer claims all slots, and short prompts wait at a gateway that uses its quarter share.
+// When one of its requests ends, only one of those that wait may exceed the slots.
+func TestQueueDoesNotExceedFloorOfSlotsInOnePass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			slots   = 48
+			floor   = slots / 2 / 4
+			waiting = 20
+		)
+		e := pwfakecatalog.Engine()
+		e.Slots = slots
+		f := pwfleet.New(pwfleet.Config{})
+		p := Policy{
+			Overload: &pwoverload.Config{},
+		}
+		d := newDispatcher(f, pwdeployment.Deployment{}, p.withDefaults(), pwobserve.Discard())
+		d.configure(pwcatalog.New(pwcatalog.Spec{
+			RequireKey: true,
+			Services: []pwcatalog.Service{{
+				Name:   "model",
+				Engine: &e,
+			}},
+		}))
+		f.Upsert(time.Now(), pwcatalog.BackendServer{
+			ID:      "e-0",
+			Service: "model",
+			Address: "e-0",
+		})
+		f.UpdatePeerLoads(time.Now(), "front-1", []pwfleet.ServerLoad{{
+			Server: pwfleet.HashServerID("e-0"),
+			Load: pwfleet.Load{
+				Requests: slots,
+			},
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		end := make(chan struct{})
+		run := func() {
+			now := time.Now()
+			plan, assignment, err := d.acquire(ctx, &pendingRequest{
+				req: pwfleet.Request{
+					Service:      "model",
+					PromptTokens: 100,
+					MaxGap:       250 * time.Millisecond,
+				},
+				workspace:          "w",
+				mayShed:            true,
+				arrivedAt:          now,
+				firstTokenDeadline: now.Add(10 * time.Second),
+				abandonAt:          now.Add(20 * time.Second),
+				noServerWaitUntil:  now,
+				capacityWaitUntil:  now.Add(20 * time.Second),
+			})
+			if err == nil {
+				<-end
+				d.end(plan, assignment, now)
+			}
+		}
+		own := func() int {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			r, _ := f.Room(time.Now(), "model")
+			return r.Own
+		}
+		for range floor + waiting {
+			go run()
+			synctest.Wait()
+		}
+		if n := own(); n != floor || len(d.waiting) != waiting {
+			t.Errorf("%d requests are placed and %d wait, want %d and %d", n, len(d.waiting), floor, waiting)
+		}
+		end <- struct{}{}
+		synctest.Wait()
+		if n := own(); n != floor {
+			t.Errorf("%d requests are placed after one has ended, want %d", n, floor)
+		}
+		cancel()
+		close(end)
+		synctest.Wait()
+		if len(d.shortWaiting) != 0 {
+			t.Errorf("%v are counted as waiting in an empty queue", d.shortWaiting)
+		}
+	})
+}
