Count the mix by the runtime's clock

Cause: mix numbered its slots by UnixNano, the time of day. After a step back all arrivals fell into one slot until the clock had caught up, and a step ahead cleared the slots, so that turns of the mix were missed or seen where there were none.

Change: slots are numbered by the time since the first use, by now.Sub, which uses the monotonic reading.

--- a/internal/core/pwfleet/mix.go
+++ b/internal/core/pwfleet/mix.go
@@ -44,10 +44,11 @@
 // mix watches the mix of short and long prompts that all processes send to engines.
 type mix struct {
 	slots [mixSlots]mixSlotCount
-	// newest is the number of the slot, since the Unix epoch, that was last written, and
-	// first that of the first arrival.
+	// startedAt is when slot 0 begins. Slots are numbered by the time since then, which a
+	// step of the time of day doesn't change.
+	startedAt time.Time
+	// newest is the number of the slot that was last written.
 	newest int64
-	first  int64
 	// unevenUntil is the time until which the demand counts as uneven.
 	unevenUntil time.Time
 }
@@ -64,10 +65,10 @@
 }
 
 func (x *mix) advance(now time.Time) {
-	slot := now.UnixNano() / int64(mixSlot)
-	if x.first == 0 {
-		x.first, x.newest = slot, slot
+	if x.startedAt.IsZero() {
+		x.startedAt = now
 	}
+	slot := int64(now.Sub(x.startedAt) / mixSlot)
 	for n := min(slot-x.newest, mixSlots); n > 0; n-- {
 		x.slots[(slot-n+1)%mixSlots] = mixSlotCount{}
 	}
@@ -78,7 +79,7 @@
 // the latter.
 func (x *mix) sums(now time.Time) (recent, before mixSlotCount, beforeSlots int64) {
 	x.advance(now)
-	slots := min(x.newest-x.first+1, mixSlots)
+	slots := min(x.newest+1, mixSlots)
 	for age := range slots {
 		sum := &before
 		if age < mixRecentSlots {
