Wake the queue only for prompts whose progress is tracked

Change: Assignment.IsTracked tells whether progress is tracked, which it is only while demand is uneven; only then is the loop woken.

Result: TestDividedPromptWakesNothingUnlessTracked fails before and passes now. go test -race ./internal/node/pwgateway passes.

--- a/internal/core/pwfleet/plan.go
+++ b/internal/core/pwfleet/plan.go
@@ -714,6 +714,8 @@
 	loads        []assignedLoad
 	prefillEnded bool
 	ended        bool
+	// tracked is set if the expected progress of the parts is tracked.
+	tracked bool
 }
 
 // assignedLoad is the load that an Assignment still counts on one server.
@@ -743,10 +745,10 @@
 		l.MediumStreams = 1
 	}
 	m, hasModel := f.models[p.Server.Service]
-	tracked := hasModel && len(p.Helpers) > 0 && f.IsDemandUneven(now)
+	a.tracked = hasModel && len(p.Helpers) > 0 && f.IsDemandUneven(now)
 	add := func(id string, l Load) {
 		ahead := f.loadOf(id)
-		if a.add(id, l) && tracked {
+		if a.add(id, l) && a.tracked {
 			f.trackPart(now, a, m, ahead)
 		}
 	}
@@ -815,6 +817,10 @@
 	a.f.version++
 }
 
+// IsTracked reports whether the load shrinks with the expected progress of the parts; see
+// Fleet.UpdateProgress.
+func (a *Assignment) IsTracked() bool { return a.tracked }
+
 // PrefillEnded reports whether EndPrefill was called before End.
 func (a *Assignment) PrefillEnded() bool { return a.prefillEnded }
 
--- a/internal/node/pwgateway/dispatch.go
+++ b/internal/node/pwgateway/dispatch.go
@@ -496,7 +496,7 @@
 func (d *dispatcher) notifyIfAssigned(placed placement) {
 	if placed.assignment != nil {
 		d.onLoadChange()
-		if len(placed.plan.Helpers) > 0 {
+		if placed.assignment.IsTracked() {
 			d.wakeRun()
 		}
 	}
--- a/internal/node/pwgateway/dispatch_test.go
+++ b/internal/node/pwgateway/dispatch_test.go
@@ -102,3 +102,27 @@
 		t.Error("the caller left in none of the rounds")
 	}
 }
+
+// Without uneven_demand no progress is tracked, and placing a divided prompt must not
+// schedule the empty queue.
+func TestDividedPromptWakesNothingUnlessTracked(t *testing.T) {
+	d := newOneSlotDispatcher()
+	for _, id := range []string{"e-1", "e-2", "e-3"} {
+		d.fleet.Upsert(time.Now(), pwcatalog.BackendServer{
+			ID:      id,
+			Service: "model",
+			Address: id,
+		})
+	}
+	plan, assignment, err := d.acquire(t.Context(), newLongRequest())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer assignment.End()
+	if len(plan.Helpers) == 0 {
+		t.Fatal("the prompt isn't divided")
+	}
+	if len(d.wake) > 0 {
+		t.Error("the queue is scheduled")
+	}
+}
