--- a/internal/core/pwfleet/mix_clock_test.go
+++ b/internal/core/pwfleet/mix_clock_test.go
@@ -22,6 +22,14 @@
 // A step of the time of day, back or ahead, leaves the count of arrivals as it is.
 func TestStepOfTimeOfDayLeavesMix(t *testing.T) {
 	begin := time.Now()
+	wantRecent := mixSlotCount{
+		short: 40,
+		long:  4,
+	}
+	wantBefore := mixSlotCount{
+		short: 160,
+		long:  16,
+	}
 	for _, step := range []time.Duration{0, -8 * time.Second, 8 * time.Second, time.Hour} {
 		var x mix
 		now := begin
@@ -33,7 +41,7 @@
 			x.add(now, 10, 1)
 		}
 		recent, before, slots := x.sums(now)
-		if recent != (mixSlotCount{short: 40, long: 4}) || before != (mixSlotCount{short: 160, long: 16}) || slots != 16 {
+		if recent != wantRecent || before != wantBefore || slots != 16 {
 			t.Errorf("step of %v: recent %+v, before %+v in %d slots", step, recent, before, slots)
 		}
 	}
