Watch at once after a stale listing

Change: the watch follows at once, as the store has responded. A first listing that is stale still backs off.

--- a/internal/node/pwcontrol/control.go
+++ b/internal/node/pwcontrol/control.go
@@ -293,6 +293,9 @@
 			continue
 		case ctx.Err() != nil:
 			return
+		case f.hasListing && errors.Is(err, errStaleListing):
+			// The store responds, and a watch follows.
+			continue
 		}
 		if !f.inOutage {
 			f.inOutage = true
