--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -24,6 +24,8 @@
 		"routes": []map[string]any{
 			{"name": "r-note", "host": hostName, "prefix": "/note/", "kind": "streaming", "timeout-ms": 10000, "target-latency-ms": 300,
 				"priority": 1, "service": "desk", "attempts": 2, "public": false, "sticky": true, "resumable": true, "target-gap-ms": 250},
+			{"name": "r-long", "host": hostName, "prefix": "/long/", "kind": "streaming", "timeout-ms": 15000, "target-latency-ms": 2500,
+				"priority": 1, "service": "desk", "attempts": 2, "public": false, "sticky": true, "resumable": true, "target-gap-ms": 1000},
 			{"name": "r-book", "host": hostName, "prefix": "/book/", "kind": "unsafe", "timeout-ms": 600, "target-latency-ms": 100,
 				"priority": 2, "service": "ledger", "attempts": 1, "public": false},
 			{"name": "r-view", "host": hostName, "prefix": "/view/", "kind": "safe", "timeout-ms": 600, "target-latency-ms": 100,
--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -48,6 +48,7 @@
 		"load":    caseLoad,
 		"headers": caseHeaders,
 		"lapse":   caseLapse,
+		"leak":    caseLeak,
 	}
 	f := cases[os.Args[1]]
 	if f == nil {
