--- a/review/standins-2/leak.go
+++ b/review/standins-2/leak.go
@@ -114,7 +114,7 @@
 func caseLeak(tmp string, trouble bool) bool {
 	const (
 		freeTime = 4 * time.Second
-		engines  = 8
+		engines  = 21
 		work     = 800 * time.Millisecond
 	)
 	st := newStore()
